Refuse requests with a transfer coding, so no body bytes pass as a hand-in

A request with both Content-Length and chunked coding was read by the coding alone; a whole hand-in behind the last chunk was then taken on. Such requests get 411 and a close, and so does the connection of any malformed hand-in.

--- a/internal/relay/clients.go
+++ b/internal/relay/clients.go
@@ -33,7 +33,7 @@
 	mux.HandleFunc("GET /_health", r.health)
 	mux.HandleFunc("POST /{class}", r.handIn)
 	return &http.Server{
-		Handler:           mux,
+		Handler:           framed(mux),
 		ReadHeaderTimeout: 5 * time.Second,
 		ReadTimeout:       10 * time.Second,
 		IdleTimeout:       2 * time.Minute,
@@ -42,6 +42,40 @@
 	}
 }
 
+// framed lets only requests through whose body is framed by Content-Length, the one form that clients use. The
+// library lets a transfer coding override a length without a word, and whoever stands before the relay may
+// have gone by the length: what is one body to them must not be read as a body and a request behind it.
+func framed(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		if len(req.TransferEncoding) == 0 {
+			next.ServeHTTP(w, req)
+		} else if _, err := readBody(w, req); err != nil {
+			turnAway(w, bodyStatus(err), "body unreadable, or over 64 KiB")
+		} else {
+			turnAway(w, http.StatusLengthRequired, "a body needs a Content-Length and no transfer coding")
+		}
+	})
+}
+
+func readBody(w http.ResponseWriter, req *http.Request) ([]byte, error) {
+	return io.ReadAll(http.MaxBytesReader(w, req.Body, bodyMost))
+}
+
+// bodyStatus is the answer to a request whose body cannot be read.
+func bodyStatus(err error) int {
+	if tooLarge := (*http.MaxBytesError)(nil); errors.As(err, &tooLarge) {
+		return http.StatusRequestEntityTooLarge
+	}
+	return http.StatusBadRequest
+}
+
+// turnAway answers a request that is not a proper one and ends its connection: nothing that follows on it is
+// waited for or read.
+func turnAway(w http.ResponseWriter, status int, why string) {
+	w.Header().Set("Connection", "close")
+	http.Error(w, why, status)
+}
+
 func (r *Relay) health(w http.ResponseWriter, _ *http.Request) {
 	if !r.listed.Load() || r.ending.Load() {
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -53,16 +87,12 @@
 	came := time.Now()
 	m, left, err := r.parse(req)
 	if err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
+		turnAway(w, http.StatusBadRequest, err.Error())
 		return
 	}
 	m.Deadline = came.Add(left)
-	m.Body, err = io.ReadAll(http.MaxBytesReader(w, req.Body, bodyMost))
-	if tooLarge := (*http.MaxBytesError)(nil); errors.As(err, &tooLarge) {
-		http.Error(w, "body over 64 KiB", http.StatusRequestEntityTooLarge)
-		return
-	} else if err != nil {
-		http.Error(w, "unreadable body", http.StatusBadRequest)
+	if m.Body, err = readBody(w, req); err != nil {
+		turnAway(w, bodyStatus(err), "body unreadable, or over 64 KiB")
 		return
 	}
 	in := &handIn{m: m, reply: make(chan answer, 1)}
