End a request that is not read within 2.5 s, and a peer that reads no answer

Silent and slow peers were left 5 s for a head and 10 s for a body, and a peer that took no answer for ever; each is owed an end within 3 s of its opening. A body announced as over 64 KiB is refused before it comes.

--- a/internal/relay/clients.go
+++ b/internal/relay/clients.go
@@ -19,6 +19,10 @@
 	bodyMost   = 64 << 10
 	traceMost  = 256 // bytes of an id or a key
 	expiresTop = 24 * time.Hour
+
+	// requestFor is how long a peer may take to send a request, and to take its answer in. A client gives its
+	// relay 400 ms in all; any other peer is owed an end within 3 s of its connection's opening.
+	requestFor = 2500 * time.Millisecond
 )
 
 // answer is what a client is told of the message that it handed in.
@@ -33,12 +37,12 @@
 	mux.HandleFunc("GET /_health", r.health)
 	mux.HandleFunc("POST /{class}", r.handIn)
 	return &http.Server{
-		Handler:           framed(mux),
-		ReadHeaderTimeout: 5 * time.Second,
-		ReadTimeout:       10 * time.Second,
-		IdleTimeout:       2 * time.Minute,
-		MaxHeaderBytes:    16 << 10,
-		ErrorLog:          slog.NewLogLogger(r.log.Handler(), slog.LevelDebug),
+		Handler:        framed(mux),
+		ReadTimeout:    requestFor, // from the connection's opening for the first request; head and body
+		WriteTimeout:   requestFor,
+		IdleTimeout:    2 * time.Minute,
+		MaxHeaderBytes: 16 << 10,
+		ErrorLog:       slog.NewLogLogger(r.log.Handler(), slog.LevelDebug),
 	}
 }
 
@@ -47,7 +51,9 @@
 // have gone by the length: what is one body to them must not be read as a body and a request behind it.
 func framed(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
-		if len(req.TransferEncoding) == 0 {
+		if req.ContentLength > bodyMost {
+			turnAway(w, http.StatusRequestEntityTooLarge, "body over 64 KiB") // before it comes
+		} else if len(req.TransferEncoding) == 0 {
 			next.ServeHTTP(w, req)
 		} else if _, err := readBody(w, req); err != nil {
 			turnAway(w, bodyStatus(err), "body unreadable, or over 64 KiB")
--- a/internal/relay/peers_test.go
+++ b/internal/relay/peers_test.go
@@ -8,7 +8,9 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 )
 
@@ -93,3 +95,113 @@
 	n, ok := err.(net.Error)
 	return ok && n.Timeout()
 }
+
+// pipeListener hands out connections in memory, for servers under a clock of the test's own.
+type pipeListener struct {
+	conns chan net.Conn
+	done  chan struct{}
+	once  sync.Once
+}
+
+func newPipeListener() *pipeListener {
+	return &pipeListener{conns: make(chan net.Conn), done: make(chan struct{})}
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.done:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *pipeListener) Close() error   { l.once.Do(func() { close(l.done) }); return nil }
+func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+func (l *pipeListener) dial() net.Conn {
+	here, there := net.Pipe()
+	l.conns <- there
+	return here
+}
+
+// A peer that is silent, slow or deaf is owed a close or an error within 3 s of its connection's opening, and
+// what it holds here is free again then.
+func TestOddPeersAreEndedInTime(t *testing.T) {
+	head := handInHead("m1")
+	for name, peer := range map[string]struct {
+		text  string
+		every time.Duration // between its bytes; 0: all at once
+	}{
+		"silent":            {"", 0},
+		"half a line":       {"POST /ord", 0},
+		"a slow head":       {head, 300 * time.Millisecond},
+		"a head and no end": {head, 0},
+		"a short body":      {head + "Content-Length: 10\r\n\r\nabc", 0},
+		"a body in drops":   {head + "Content-Length: 99\r\n\r\n", 5 * time.Millisecond},
+		"a body of 60 MB":   {head + "Content-Length: 60000000\r\n\r\nabc", 0},
+		"binary":            {strings.Repeat("\x16\x03\x01\x00", 40), 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newTestRelay(t)
+				l, server := newPipeListener(), r.newServer()
+				served := make(chan struct{})
+				go func() { defer close(served); server.Serve(l) }()
+				began, conn := time.Now(), l.dial()
+				written := make(chan struct{})
+				go func() {
+					defer close(written)
+					for i := range peer.text {
+						if _, err := io.WriteString(conn, peer.text[i:i+1]); err != nil {
+							return
+						}
+						time.Sleep(peer.every)
+					}
+				}()
+				first := make([]byte, 512)
+				n, err := conn.Read(first)
+				if took := time.Since(began); took > 3*time.Second {
+					t.Errorf("%q, %v, after %v", first[:n], err, took)
+				}
+				if n > 0 && !strings.HasPrefix(string(first), "HTTP/1.1 4") {
+					t.Errorf("answered %q", first[:n])
+				}
+				if _, err := io.Copy(io.Discard, conn); err != nil && time.Since(began) > 4*time.Second {
+					t.Errorf("still open: %v", err)
+				}
+				if took := time.Since(began); took > 4*time.Second {
+					t.Errorf("closed after %v", took)
+				}
+				if len(r.events) > 0 {
+					t.Error("a message was taken in")
+				}
+				conn.Close()
+				server.Close()
+				<-served
+				<-written
+			})
+		})
+	}
+}
+
+// A peer that sends requests and reads no answers holds its connection no longer than one write may take.
+func TestADeafPeerIsEnded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newTestRelay(t)
+		l, server := newPipeListener(), r.newServer()
+		served := make(chan struct{})
+		go func() { defer close(served); server.Serve(l) }()
+		began, conn := time.Now(), l.dial()
+		var err error
+		for err == nil {
+			_, err = io.WriteString(conn, "GET /_health HTTP/1.1\r\nHost: x\r\n\r\n")
+		}
+		if took := time.Since(began); took > 6*time.Second {
+			t.Errorf("ended after %v", took)
+		}
+		conn.Close()
+		server.Close()
+		<-served
+	})
+}
