Keep a message that came again when its first connection's withdrawal arrives

A keep-alive connection closed while its request was read: the client sent the request once more and was told 202, then the first copy's handler saw its client gone and withdrew the message, so neither delivery nor notice came. A peer that ended only its sending was told 200 for a withdrawn message; it gets 500.

--- a/internal/relay/clients.go
+++ b/internal/relay/clients.go
@@ -109,7 +109,11 @@
 	a := <-in.reply
 	// A client that has left without the answer hands the message in anew: this one must not be sent as well.
 	if req.Context().Err() != nil {
-		r.post(withdrawal{m.ID})
+		if m.ID != 0 { // the loop has numbered it: it is this connection's own
+			r.post(withdrawal{m.ID})
+		}
+		// It may have ended its sending alone and still read: no answer at all would reach it as a 200.
+		reply(w, answer{status: http.StatusInternalServerError})
 		return
 	}
 	reply(w, a)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -63,6 +63,9 @@
 	sends int  // as the module counts them
 	out   int  // attempts without an outcome
 	ended bool // the module has done with it
+
+	again     bool // a further connection was told that it is taken on
+	withdrawn bool // its client left before any answer
 }
 
 // Relay is one relay.
@@ -320,7 +323,7 @@
 		case *handIn:
 			ins = append(ins, e)
 		case withdrawal:
-			evs = r.withdraw(evs, e.id)
+			evs = r.clientLeft(evs, e.id)
 		case *callEnd:
 			evs = r.callEnded(evs, e)
 		case cutOff:
@@ -368,7 +371,7 @@
 	for _, in := range ins {
 		switch {
 		case r.traces[in.m.Trace] != nil:
-			in.reply <- answer{status: http.StatusAccepted} // its answer was lost on the way; it is taken on already
+			in.reply <- r.handedInAgain(r.traces[in.m.Trace])
 		case r.cfg.Settings.MaxHeld > 0 && r.held >= r.cfg.Settings.MaxHeld:
 			in.reply <- answer{http.StatusServiceUnavailable, policy.RetryAdvice}
 		default:
@@ -401,7 +404,28 @@
 	return fresh
 }
 
-// withdraw ends a message whose client has left before its answer.
+// handedInAgain answers a message that came once more under its id: its answer was lost on the way, or its
+// connection was closed crosswise. From then on it is owed to the connection it came on last, whatever becomes
+// of the one before.
+func (r *Relay) handedInAgain(m *message) answer {
+	if m.withdrawn {
+		return answer{http.StatusServiceUnavailable, policy.RetryAdvice} // over, and an attempt of it still out
+	}
+	m.again = true
+	return answer{status: http.StatusAccepted}
+}
+
+// clientLeft ends a message whose client has left before its answer, unless it has come again meanwhile.
+func (r *Relay) clientLeft(evs []policy.Event, id uint32) []policy.Event {
+	m := r.msgs[id]
+	if m == nil || m.again {
+		return evs
+	}
+	m.withdrawn = true
+	return r.withdraw(evs, id)
+}
+
+// withdraw ends a message that needs no further attempt.
 func (r *Relay) withdraw(evs []policy.Event, id uint32) []policy.Event {
 	m := r.msgs[id]
 	if m == nil {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -313,3 +313,66 @@
 		t.Errorf("%d calls out, %d held, notices %+v", again.out, again.held, again.finals.queue)
 	}
 }
+
+// serve hands a message in through the server's handler and returns its answer, once the loop's next hand-in
+// was decided on and the handler is through.
+func (r *Relay) serve(ctx context.Context, id string, meanwhile func()) *httptest.ResponseRecorder {
+	w := httptest.NewRecorder()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		r.newServer().Handler.ServeHTTP(w, handInRequest(ctx, id))
+	}()
+	e := <-r.events
+	for ; ; e = <-r.events {
+		if _, ok := e.(*handIn); ok {
+			break
+		}
+		r.step([]any{e})
+	}
+	meanwhile()
+	r.step([]any{e})
+	<-done
+	return w
+}
+
+// A connection closes while its request is read: the client sends it again, and the first copy's handler finds
+// its client gone. What the second copy was told is on must not go with the first.
+func TestAWithdrawalEndsNothingThatWasHandedInAgain(t *testing.T) {
+	r := newTestRelay(t)
+	r.routes, r.sender = nil, mustSender(t, r.cfg) // no route: it is held
+	ctx, leave := context.WithCancel(t.Context())
+	first := r.serve(ctx, "m1", leave)
+	if first.Code != http.StatusInternalServerError {
+		t.Errorf("the copy whose client has left is told %d", first.Code)
+	}
+	gone := <-r.events // the first copy's withdrawal comes behind the second copy
+	second := r.serve(t.Context(), "m1", func() {})
+	if second.Code != http.StatusAccepted {
+		t.Fatalf("the second copy is told %d", second.Code)
+	}
+	r.step([]any{gone})
+	if len(r.msgs) != 1 || r.held != 1 {
+		t.Errorf("%d messages, %d held: what was taken on is gone", len(r.msgs), r.held)
+	}
+}
+
+// Once it is withdrawn, with an attempt still out, its id is not taken on again: nobody would send it.
+func TestWhatWasWithdrawnIsNotTakenOnUnderItsID(t *testing.T) {
+	r := newTestRelay(t)
+	m := &message{Message: &wal.Message{ID: 9, Trace: "m1"}, out: 1}
+	r.msgs[9], r.traces["m1"], r.held = m, m, 1
+	r.step([]any{withdrawal{9}})
+	if w := r.serve(t.Context(), "m1", func() {}); w.Code != http.StatusServiceUnavailable {
+		t.Errorf("status %d", w.Code)
+	}
+}
+
+func mustSender(t *testing.T, cfg Config) *policy.Sender {
+	t.Helper()
+	s, err := policy.New(cfg.Settings, cfg.Seed)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
