--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -783,3 +783,48 @@
 		t.Error("a message for another destination had the closed one looked at again")
 	}
 }
+
+// Calls that got no answer once held their slots for an aim or two, whatever a route's answers took: a time-out
+// follows the answers, and what is bound to a repeat window ends inside it.
+func TestTimeOutsFollowTheAnswers(t *testing.T) {
+	const usual = 60 * ms
+	set := settings()
+	set.Classes[1].Window = 3 * time.Second
+	for i := range set.Classes {
+		set.Classes[i].Aim, set.Classes[i].GiveUp = 4*time.Second, 12*time.Second
+	}
+	for class, c := range set.Classes {
+		d := newDesk(t, set, Listing{Route: "a"})
+		for id := range uint32(20) {
+			d.take(id, 0)
+			d.end(id, "a", OK, usual, 0)
+		}
+		acts := d.take(100, class)
+		if len(acts) != 1 || acts[0].Kind != Send {
+			t.Fatalf("class %d: %+v", class, acts)
+		}
+		if cut := acts[0].At - d.now; cut > 2*leastExpect || cut < 10*usual {
+			t.Errorf("class %d: answers take %v, cut after %v", class, usual, cut)
+		} else if c.Effect == Keyed && cut >= c.Window {
+			t.Errorf("class %d: cut after %v, no repeat is left in %v", class, cut, c.Window)
+		}
+	}
+}
+
+// A route whose answers have always taken long may turn as slow as before: half the aim, or all of it.
+func TestLongAnswersKeepTheirTimeOut(t *testing.T) {
+	set := settings()
+	for i := range set.Classes {
+		set.Classes[i].Aim = 4 * time.Second
+	}
+	for class, want := range []time.Duration{2 * time.Second, 4 * time.Second, 4 * time.Second} {
+		d := newDesk(t, set, Listing{Route: "a"})
+		for id := range uint32(20) {
+			d.take(id, 0)
+			d.end(id, "a", OK, 300*ms, 0)
+		}
+		if acts := d.take(100, class); len(acts) != 1 || acts[0].At-d.now != want {
+			t.Errorf("class %d: %+v at %v, want a cut after %v", class, acts, d.now, want)
+		}
+	}
+}
