--- a/policy/policy.go
+++ b/policy/policy.go
@@ -47,7 +47,6 @@
 	roughFactor  = 1.5                     // a rough weight may exceed the truth by this factor
 	ownSpan      = 10 * time.Second        // span of the mean rate of own deliveries
 	devs         = 6                       // mean deviations over the mean answer time that a time-out allows
-	slowMost     = 12                      // usual answers that one of a slow route may take
 	lateDevs     = 4                       // the same after which an answer is overdue
 	leastExpect  = 800 * time.Millisecond  // no answer is overdue before this
 	endMargin    = 12 * time.Millisecond   // final answers and time-outs come this long before the deadline
@@ -821,48 +820,6 @@
 	return true
 }
 
-// expect is how long an answer of a route may take: its mean and so many mean deviations.
-func (s *Sender) expect(r *route, devs int) time.Duration {
-	if r.mean == 0 {
-		return 2 * leastExpect
-	}
-	return max(leastExpect, r.mean+time.Duration(devs)*r.dev)
-}
-
-// slowest is how long a route that has turned slow may still take: so many of its usual answers, or half of the
-// aim where that is less or none is known. Guards against calls that get no answer and hold slots for many
-// times as long as an answer ever took.
-func (s *Sender) slowest(m *message, r *route) time.Duration {
-	if r.mean == 0 {
-		return m.class.Aim / 2
-	}
-	return min(m.class.Aim/2, slowMost*r.mean)
-}
-
-// cutAt is when an attempt times out: as long as the route's answers have taken, at most half the time left.
-// An unsafe message has no second try and waits twice as long; a trial of a skipped route waits least.
-func (s *Sender) cutAt(m *message, r *route) time.Duration {
-	left, slow := m.deadline-s.now, s.slowest(m, r)
-	usual := max(s.expect(r, devs), slow)
-	if m.class.Effect == Keyed && !m.class.GroupAll {
-		usual = max(usual, 2*slow) // a repeat is bound to few routes
-	}
-	if s.set.Slots > 0 && 2*s.slots > s.set.Slots {
-		usual = min(usual, m.class.Aim)
-	}
-	if r.down {
-		usual = slow
-	}
-	if m.class.Effect == Unsafe {
-		return s.now + min(left, 2*usual)
-	}
-	// Where half of the time is less than an answer may take, one try has all of it.
-	if left/2 >= s.expect(r, lateDevs) {
-		left /= 2
-	}
-	return s.now + min(left, usual)
-}
-
 // Deadlines.
 
 // endDue gives every message whose time is up its final answer.
