On SIGHUP read the configuration again and follow discovery to its new address

The program had no hand on the signal and ended by it, which is a crash. The watch resumes at the new address from the version last told, notices that the old one did not take go to the new one, and a file that cannot be read changes nothing. The file's discovery goes before ROUTER_DISCOVERY, which cannot change.

--- a/cmd/cherrytrestle/main.go
+++ b/cmd/cherrytrestle/main.go
@@ -29,6 +29,10 @@
 func run() error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
+	// Before anything else: without a hand on it the signal ends the program.
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	defer signal.Stop(reload)
 	cfg, err := relay.LoadConfig(os.Getenv)
 	if err != nil {
 		return err
@@ -39,5 +43,28 @@
 	if err != nil {
 		return fmt.Errorf("start: %w", err)
 	}
+	ended := make(chan struct{})
+	defer close(ended)
+	go func() {
+		for {
+			select {
+			case <-reload:
+				reconfigure(r)
+			case <-ended:
+				return
+			}
+		}
+	}()
 	return r.Run(ctx)
 }
+
+// reconfigure has the relay take on the configuration as it is now. One that cannot be read changes nothing: the
+// relay goes on with what it has.
+func reconfigure(r *relay.Relay) {
+	cfg, err := relay.LoadConfig(os.Getenv)
+	if err != nil {
+		slog.Warn("configuration not taken on", "err", err)
+		return
+	}
+	r.Reconfigure(cfg)
+}
--- a/cmd/cherrytrestle/main_test.go
+++ b/cmd/cherrytrestle/main_test.go
@@ -687,3 +687,63 @@
 		t.Errorf("with half a request open: %v", err)
 	}
 }
+
+// reconfigure replaces the configuration file's text and signals the relay.
+func (r *relayProcess) reconfigure(text []byte) {
+	r.t.Helper()
+	next := filepath.Join(r.dir, "config.next")
+	must(r.t, os.WriteFile(next, text, 0o600))
+	must(r.t, os.Rename(next, filepath.Join(r.dir, "config.json")))
+	must(r.t, r.cmd.Process.Signal(syscall.SIGHUP))
+}
+
+// SIGHUP moves discovery: the list, and the notices, those that the old address never took among them. What is
+// held stays held, and a file that cannot be read changes nothing.
+func TestSIGHUPMovesDiscovery(t *testing.T) {
+	before, after := newPlatform(t), newPlatform(t)
+	before.refuse = 1 << 30
+	old, fresh := newHost(t, nil), newHost(t, nil)
+	r := newRelay(t, before, []member{listed("s-1", old.addr(), "a", "platform", "ready")}, nil)
+	r.take("m1", 10*time.Second)
+	eventually(t, "delivered at the host that was known", func() bool { return old.count("m1") == 1 })
+	if status, _ := r.handIn("lost", 300*time.Millisecond, func(q *http.Request) { q.Header.Set("Envelope", "dest=3") }); status != http.StatusAccepted {
+		t.Fatalf("status %d", status)
+	}
+	eventually(t, "a notice that the old address does not take", func() bool {
+		before.mu.Lock()
+		defer before.mu.Unlock()
+		return before.refuse < 1<<30
+	})
+
+	text, err := os.ReadFile(filepath.Join(r.dir, "config.json"))
+	must(t, err)
+	r.reconfigure([]byte("{"))
+	var config map[string]any
+	must(t, json.Unmarshal(text, &config))
+	config["discovery"] = after.Listener.Addr().String()
+	text, err = json.Marshal(config)
+	must(t, err)
+	r.reconfigure(text)
+	eventually(t, "the notice at the new address", func() bool { return after.final("lost") != nil })
+	eventually(t, "a watch at the new address", func() bool {
+		after.mu.Lock()
+		defer after.mu.Unlock()
+		return len(after.indexes) > 0
+	})
+	before.CloseClientConnections()
+	before.Close()
+	after.tell(true, listed("s-2", fresh.addr(), "a", "platform", "ready"))
+	for i := 0; fresh.count(fmt.Sprint("n", i)) == 0; i++ {
+		if i == 500 {
+			t.Fatal("the list at the new address is not followed")
+		}
+		r.take(fmt.Sprint("n", i+1), 10*time.Second)
+		time.Sleep(10 * time.Millisecond)
+	}
+	r.reconfigure(text) // the same once more
+	r.take("m2", 10*time.Second)
+	eventually(t, "delivered at the new host", func() bool { return fresh.count("m2") == 1 })
+	if err := r.terminate(); err != nil {
+		t.Errorf("ended: %v", err)
+	}
+}
--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -48,7 +48,8 @@
 	DiskMB   float64 `json:"disk_mb"`
 }
 
-// LoadConfig reads the file that ROUTER_CONFIG names; the other ROUTER_ variables go before it.
+// LoadConfig reads the file that ROUTER_CONFIG names; the other ROUTER_ variables go before it, but for
+// ROUTER_DISCOVERY: the file may be replaced while the relay runs, and what it says of discovery is newer then.
 func LoadConfig(getenv func(string) string) (Config, error) {
 	data, err := os.ReadFile(getenv("ROUTER_CONFIG"))
 	if err != nil {
@@ -61,7 +62,7 @@
 	for name, field := range map[string]*string{
 		"ROUTER_NAME": &c.Name, "ROUTER_LISTEN": &c.Listen, "ROUTER_DISCOVERY": &c.Discovery, "ROUTER_STATE": &c.StateDir,
 	} {
-		if v := getenv(name); v != "" {
+		if v := getenv(name); v != "" && (field != &c.Discovery || *field == "") {
 			*field = v
 		}
 	}
--- a/internal/relay/discovery.go
+++ b/internal/relay/discovery.go
@@ -62,6 +62,36 @@
 	}
 }
 
+// follower keeps one watcher running, at the address that discovery has now.
+type follower struct {
+	watcher
+	version int64 // of the list told last; a watch at another address resumes there
+	stop    context.CancelFunc
+	done    chan struct{}
+}
+
+// move begins to watch at addr. The watch before has ended when it returns, so that lists come in their order.
+func (f *follower) move(ctx context.Context, addr string) {
+	f.end()
+	ctx, f.stop = context.WithCancel(ctx)
+	f.done = make(chan struct{})
+	w := f.watcher
+	w.addr = addr
+	w.told = func(l List) { f.version = l.Version; f.told(l) }
+	go func(version int64) {
+		defer close(f.done)
+		w.run(ctx, version)
+	}(f.version)
+}
+
+// end ends the watch, if there is one.
+func (f *follower) end() {
+	if f.stop != nil {
+		f.stop()
+		<-f.done
+	}
+}
+
 // follow is one watch, until its connection ends or falls silent. A connection that is cut off says nothing:
 // only the missing lines tell. version is kept up, so that the next watch resumes where this one ended.
 func (w *watcher) follow(ctx context.Context, version *int64) error {
@@ -107,10 +137,10 @@
 type finals struct {
 	log    *slog.Logger
 	client *http.Client
-	url    string
 	taken  func(ids []uint32)
 
 	mu     sync.Mutex
+	url    string
 	queue  []notice
 	signal chan struct{}
 }
@@ -124,9 +154,16 @@
 }
 
 func newFinals(log *slog.Logger, client *http.Client, addr string, taken func([]uint32)) *finals {
-	return &finals{
-		log: log, client: client, url: "http://" + addr + "/v2/finals", taken: taken, signal: make(chan struct{}, 1),
-	}
+	f := &finals{log: log, client: client, taken: taken, signal: make(chan struct{}, 1)}
+	f.move(addr)
+	return f
+}
+
+// move has notices go to another address, those that the old one did not take among them.
+func (f *finals) move(addr string) {
+	f.mu.Lock()
+	f.url = "http://" + addr + "/v2/finals"
+	f.mu.Unlock()
 }
 
 // add queues notices. It never waits, so that the loop does not.
@@ -190,7 +227,10 @@
 			return err
 		}
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, f.url, &lines)
+	f.mu.Lock()
+	url := f.url
+	f.mu.Unlock()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, &lines)
 	if err != nil {
 		return err
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -76,6 +76,7 @@
 	finals *finals
 	agent  *http.Client
 	events chan any
+	moves  chan string   // where discovery is now, if it moved
 	over   chan struct{} // closed when the loop has ended
 	idle   chan struct{} // closed when the relay is stopping and nothing is left to wait for
 	listed atomic.Bool   // it has recovered and holds a list
@@ -119,7 +120,7 @@
 	}
 	r := &Relay{
 		cfg: cfg, log: log, hosts: newHosts(cfg), agent: newAgentClient(),
-		events: make(chan any, eventRoom), over: make(chan struct{}), idle: make(chan struct{}),
+		events: make(chan any, eventRoom), moves: make(chan string, 1), over: make(chan struct{}), idle: make(chan struct{}),
 		started: time.Now().Add(-clockStart), sender: sender, wal: w,
 		msgs: map[uint32]*message{}, traces: map[string]*message{}, routes: map[string]target{},
 	}
@@ -142,8 +143,16 @@
 	r.resume() // before clients are told that the relay is ready
 	go r.loop(work)
 	go r.finals.run(work)
-	list := watcher{r.log, r.agent, r.cfg.Discovery, watchSilence, func(l List) { r.post(l) }}
-	go list.run(work, r.cfg.Known.Version)
+	list := follower{
+		watcher: watcher{r.log, r.agent, r.cfg.Discovery, watchSilence, func(l List) { r.post(l) }},
+		version: r.cfg.Known.Version,
+	}
+	list.move(work, r.cfg.Discovery)
+	followed := make(chan struct{})
+	go func() {
+		defer close(followed)
+		r.followMoves(work, &list)
+	}()
 
 	server := r.newServer()
 	entry := newDoor(listener, r.log, r.cfg.Limits.Sockets/2)
@@ -161,10 +170,48 @@
 	r.calls.Wait() // their outcomes reach the log
 	stop()
 	<-r.over
+	<-followed
 	r.hosts.close()
 	return errors.Join(err, r.wal.Close())
 }
 
+// Reconfigure takes on what a new configuration changes for a running relay: where discovery is. It may be called
+// from any goroutine and never waits; of several addresses the last counts.
+func (r *Relay) Reconfigure(cfg Config) {
+	for {
+		select {
+		case r.moves <- cfg.Discovery:
+			return
+		default:
+		}
+		select {
+		case <-r.moves: // not taken up yet, and out of date
+		default:
+		}
+	}
+}
+
+// followMoves follows discovery from address to address until ctx ends.
+func (r *Relay) followMoves(ctx context.Context, list *follower) {
+	defer list.end()
+	at := r.cfg.Discovery
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case addr := <-r.moves:
+			if addr == at {
+				continue
+			}
+			r.log.Info("discovery moved", "from", at, "to", addr)
+			at = addr
+			r.finals.move(addr)
+			list.move(ctx, addr)
+			r.agent.CloseIdleConnections() // those to the old address
+		}
+	}
+}
+
 // shutDown is the planned end. Connections that are idle close at once, and a request that crosses that comes
 // once more on a new connection, which is still taken; what was read is answered, and running calls may finish.
 func (r *Relay) shutDown(server *http.Server) {
