--- a/policy/policy.go
+++ b/policy/policy.go
@@ -488,6 +488,7 @@
 	r.okAt, r.okSent, r.streak, r.refusals = s.now, max(r.okSent, sent), 0, 0
 	r.recent, g.streak, g.tights = r.recent<<1, 0, 0
 	s.answered(r, took)
+	r.usual += (took - r.usual) / time.Duration(min(8, r.run+1)) // after a doubt what comes then counts most
 	if r.down {
 		r.down, r.skipUntil, r.skipLen = false, 0, 0
 		g.pace, g.tokens, g.tokensAt = paceRestart, 0, s.now
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -828,3 +828,33 @@
 		}
 	}
 }
+
+// Time-outs lengthen what an answer is thought to take; where slots are short, the next call must not be given
+// the longer for them: only answers that came count.
+func TestTimeOutsLengthenNoneWhereSlotsAreShort(t *testing.T) {
+	set := settings()
+	set.Slots = 4
+	set.Classes[2].Aim, set.Classes[2].GiveUp, set.Classes[2].Ordered = 4*time.Second, 60*time.Second, false
+	d := newDesk(t, set, Listing{Route: "a"}, Listing{Route: "b", Destination: 1}, Listing{Route: "c", Destination: 2},
+		Listing{Route: "d", Destination: 3})
+	send := func(id uint32, dest int) time.Duration {
+		t.Helper()
+		acts := d.step(Event{Kind: Taken, ID: id, Class: 2, Destination: dest, Left: 60 * time.Second})
+		if len(acts) != 1 || acts[0].Kind != Send {
+			t.Fatalf("message %d: %+v", id, acts)
+		}
+		return acts[0].At - d.now
+	}
+	for id := range uint32(20) {
+		send(id, 0)
+		d.end(id, "a", OK, 60*ms, 0)
+	}
+	send(20, 0)
+	d.end(20, "a", Timeout, 3*time.Second, 0)
+	send(31, 1) // three of four slots are out when the call to a leaves
+	send(32, 2)
+	send(33, 3)
+	if cut := send(21, 0); cut > 4*slowMost*60*ms || cut < leastExpect {
+		t.Errorf("answers take 60 ms, cut after %v", cut)
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -56,7 +56,8 @@
 	refusedAt time.Duration // the first of them
 	okAt      time.Duration // last delivery
 	okSent    time.Duration // latest send that was answered
-	mean, dev time.Duration // answer times
+	mean, dev time.Duration // answer times, and of what timed out a guess
+	usual     time.Duration // mean of the answers that came
 }
 
 // dest is a destination with its queue.
