Take a 200 by its first line, at once, whatever the rest of the answer is

An answer that the library could not read ended as a reset, though its first line said 200: the message was repeated, or failed. The body behind a head that could be read held message and slot until the time-out; it now has 100 ms, and a connection it did not come on is closed.

--- a/internal/relay/hosts.go
+++ b/internal/relay/hosts.go
@@ -28,6 +28,9 @@
 // answerMost is the most that is read of an answer.
 const answerMost = 1 << 20
 
+// restFor is how long the body of an answer may take behind its head, where it means nothing.
+const restFor = 100 * time.Millisecond
+
 var errTooManyConns = errors.New("all connections that the relay may hold are in use")
 
 // hosts makes the outbound calls and keeps their connections. It pools them itself, over http.ClientConn: a
@@ -41,8 +44,9 @@
 	most           int // connections
 
 	mu     sync.Mutex
-	idle   map[string][]*idleConn // by address, the last used last
-	open   int                    // connections, idle or not
+	idle   map[string][]*idleConn         // by address, the last used last
+	open   int                            // connections, idle or not
+	lines  map[*http.ClientConn]*lineConn // of the open ones
 	closed bool
 }
 
@@ -85,7 +89,7 @@
 	return &hosts{
 		// No proxy, no compression, no redirects: a ClientConn follows none.
 		transport: &http.Transport{
-			DialContext:            (&net.Dialer{KeepAlive: -1}).DialContext,
+			DialContext:            dialHost,
 			DisableCompression:     true,
 			MaxResponseHeaderBytes: 16 << 10,
 		},
@@ -94,6 +98,7 @@
 		reports:        cfg.Reports,
 		most:           cfg.Limits.Sockets * 3 / 8,
 		idle:           map[string][]*idleConn{},
+		lines:          map[*http.ClientConn]*lineConn{},
 	}
 }
 
@@ -121,20 +126,91 @@
 
 // exchange writes the request and reads its answer.
 func (h *hosts) exchange(req *http.Request, c *call, conn *http.ClientConn) []result {
+	ctx, cancel := context.WithCancel(req.Context())
+	defer cancel()
+	h.mu.Lock()
+	line := h.lines[conn]
+	h.mu.Unlock()
+	if line != nil {
+		line.begin()
+	}
 	var written atomic.Bool
 	trace := &httptrace.ClientTrace{WroteRequest: func(i httptrace.WroteRequestInfo) { written.Store(i.Err == nil) }}
-	res, err := conn.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
+	res, err := conn.RoundTrip(req.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	if err != nil {
 		h.drop(conn)
+		if len(c.attempts) == 1 && written.Load() && line != nil && line.ok() {
+			return alike(c, result{outcome: policy.OK}) // the rest cannot be read, but it was delivered
+		}
 		// The last byte tells: without it no host has begun. Whatever is doubtful may have run.
 		return alike(c, result{outcome: broken(req.Context(), written.Load())})
 	}
+	if len(c.attempts) == 1 {
+		// The head tells all: a body that does not come must keep neither the message nor the slot.
+		late := time.AfterFunc(restFor, cancel)
+		defer late.Stop()
+	}
 	body, err := io.ReadAll(io.LimitReader(res.Body, answerMost))
 	res.Body.Close()
-	h.put(c.addr, conn)
+	if err != nil {
+		h.drop(conn)
+	} else {
+		h.put(c.addr, conn)
+	}
 	return h.results(req.Context(), c, res, body, err)
 }
 
+// lineConn keeps the beginning of each answer on a connection to a host, its status line, for when the library
+// cannot make sense of what follows.
+type lineConn struct {
+	net.Conn
+	mu   sync.Mutex
+	line []byte
+}
+
+// okLine is how long the part of a status line is that tells of a delivery.
+const okLine = len("HTTP/1.1 200 ")
+
+// lineKey is the key of a context under which a dial leaves its lineConn.
+type lineKey struct{}
+
+func dialHost(ctx context.Context, network, addr string) (net.Conn, error) {
+	conn, err := (&net.Dialer{KeepAlive: -1}).DialContext(ctx, network, addr)
+	if err != nil {
+		return nil, err
+	}
+	line := &lineConn{Conn: conn}
+	if dialed, ok := ctx.Value(lineKey{}).(chan *lineConn); ok {
+		dialed <- line // has room for the one
+	}
+	return line, nil
+}
+
+// begin forgets the answer before.
+func (c *lineConn) begin() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.line = c.line[:0]
+}
+
+func (c *lineConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.line = append(c.line, b[:min(n, okLine-len(c.line))]...)
+	return n, err
+}
+
+// ok tells whether the answer's first line says 200.
+func (c *lineConn) ok() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.line) < okLine || !bytes.HasPrefix(c.line, []byte("HTTP/1.")) || string(c.line[8:12]) != " 200" {
+		return false
+	}
+	return bytes.IndexByte([]byte(" \r\n"), c.line[12]) >= 0
+}
+
 // broken is the outcome of a call whose answer did not come.
 func broken(ctx context.Context, written bool) policy.Outcome {
 	switch {
@@ -322,13 +398,18 @@
 
 	ctx, cancel := context.WithTimeout(ctx, h.connectTimeout)
 	defer cancel()
-	conn, err = h.transport.NewClientConn(ctx, "http", addr)
+	dialed := make(chan *lineConn, 1)
+	conn, err = h.transport.NewClientConn(context.WithValue(ctx, lineKey{}, dialed), "http", addr)
+	h.mu.Lock()
+	defer h.mu.Unlock()
 	if err != nil {
-		h.mu.Lock()
 		h.open--
-		h.mu.Unlock()
 		return nil, false, fmt.Errorf("connect: %w", err)
 	}
+	select {
+	case h.lines[conn] = <-dialed:
+	default:
+	}
 	return conn, true, nil
 }
 
@@ -387,6 +468,7 @@
 
 func (h *hosts) drop1(conn *http.ClientConn) {
 	h.open--
+	delete(h.lines, conn)
 	conn.Close()
 }
 
--- a/internal/relay/hosts_test.go
+++ b/internal/relay/hosts_test.go
@@ -432,3 +432,75 @@
 		t.Errorf("a single message is delivered with the first line: %v", r[0].outcome)
 	}
 }
+
+// What cannot be read may have run, and must not be taken for a delivery; but a first line with 200 is one,
+// whatever comes behind it.
+func TestUnreadableAnswers(t *testing.T) {
+	for text, want := range map[string]policy.Outcome{
+		"HTTP/1.1 200 OK\r\nno field at all\r\n\r\n":                        policy.OK,
+		"HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n":                      policy.OK,
+		"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\n": policy.OK,
+		"HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", 40<<10) + "\r\n\r\n": policy.OK,
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n":       policy.OK,
+		"HTTP/1.1 200 OK\r\nContent-Le":                                     policy.OK,
+		"HTTP/1.1 200\r\nno field at all\r\n\r\n":                           policy.OK,
+		"HTTP/1.1 2000 OK\r\nno field at all\r\n\r\n":                       policy.Reset,
+		"HTTP/1.1 503 Busy\r\nno field at all\r\n\r\n":                      policy.Reset,
+		"HTTP/1.1 20":                  policy.Reset,
+		"200 OK\r\n\r\n":               policy.Reset,
+		"\x00\x01\x02\x03\r\n\r\n\r\n": policy.Reset,
+		"HTTP/1.1 418 Teapot\r\nContent-Length: 0\r\n\r\n": policy.Error,
+	} {
+		addr, requests := rawHost(t, func(n int, conn net.Conn, _ *http.Request) bool {
+			if n == 1 { // a proper answer first, so that the odd one is not a connection's only one
+				io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+				return true
+			}
+			io.WriteString(conn, text)
+			return false
+		})
+		h := testHosts(t, testConfig())
+		if r := h.do(t.Context(), newCall(addr, "a"), yes); r[0].outcome != policy.OK {
+			t.Fatalf("a proper answer is %v", r[0].outcome)
+		}
+		if r := h.do(t.Context(), newCall(addr, "b"), yes); r[0].outcome != want {
+			t.Errorf("%.40q: outcome %v, want %v", text, r[0].outcome, want)
+		}
+		if n := requests.Load(); n != 2 {
+			t.Errorf("%.40q: %d requests", text, n)
+		}
+	}
+}
+
+// In a bundle's answer the first line tells of no message.
+func TestAnUnreadableBundleMayHaveRun(t *testing.T) {
+	addr, _ := rawHost(t, func(_ int, conn net.Conn, _ *http.Request) bool {
+		io.WriteString(conn, "HTTP/1.1 200 OK\r\nno field at all\r\n\r\n")
+		return false
+	})
+	for i, r := range testHosts(t, testConfig()).do(t.Context(), newCall(addr, "a", "b"), yes) {
+		if r.outcome != policy.Reset {
+			t.Errorf("message %d: outcome %v", i, r.outcome)
+		}
+	}
+}
+
+// A head with 200 delivers; a body that never comes may hold the message no longer.
+func TestABodyThatNeverComesHoldsNothing(t *testing.T) {
+	addr, _ := rawHost(t, func(_ int, conn net.Conn, _ *http.Request) bool {
+		io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\n")
+		io.Copy(io.Discard, conn) // until the relay leaves
+		return false
+	})
+	h := testHosts(t, testConfig())
+	began := time.Now()
+	c := newCall(addr, "a")
+	if r := h.do(t.Context(), c, yes); r[0].outcome != policy.OK || !time.Now().Before(c.until) {
+		t.Errorf("outcome %v after %v", r[0].outcome, time.Since(began))
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.open != 0 {
+		t.Errorf("%d connections are kept", h.open)
+	}
+}
