--- a/internal/relay/clients.go
+++ b/internal/relay/clients.go
@@ -6,6 +6,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"net/url"
 	"slices"
 	"strconv"
 	"strings"
@@ -140,6 +141,8 @@
 		return nil, 0, fmt.Errorf("unknown class %q", req.PathValue("class"))
 	case req.Header.Get("X-Qos") != req.PathValue("class"):
 		return nil, 0, errors.New("X-Qos and the path differ")
+	case !r.knownQuery(req, m):
+		return nil, 0, errors.New("unknown query")
 	case m.Trace == "" || max(len(m.Trace), len(m.Key), len(m.Order)) > traceMost:
 		return nil, 0, errors.New("no X-Trace-Id, or an id or key too long")
 	case m.Key == "" && r.cfg.Settings.Classes[m.Class].Effect == policy.Keyed:
@@ -160,6 +163,17 @@
 	return m, time.Duration(ms) * time.Millisecond, nil
 }
 
+// knownQuery tells whether the request's query is one that clients send: the key, where the class keeps order.
+// Any other comes from a stranger, who may have an id of a client's: taken on first, its message would stand in
+// the place of the client's own.
+func (r *Relay) knownQuery(req *http.Request, m *wal.Message) bool {
+	if req.URL.RawQuery == "" && !req.URL.ForceQuery {
+		return true
+	}
+	query, err := url.ParseQuery(req.URL.RawQuery)
+	return err == nil && r.cfg.Settings.Classes[m.Class].Ordered && len(query) == 1 && len(query["key"]) == 1
+}
+
 // destination finds dest among the name=value pairs of an envelope.
 func destination(envelope string) (int, error) {
 	for _, pair := range strings.FieldsFunc(envelope, func(c rune) bool { return strings.ContainsRune(",;& ", c) }) {
--- a/internal/relay/peers_test.go
+++ b/internal/relay/peers_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
@@ -254,3 +255,44 @@
 		<-served
 	})
 }
+
+// A stranger's request under a client's id must not be taken on in the client's place.
+func TestAQueryThatNoClassAsksForIsRefused(t *testing.T) {
+	for _, c := range []struct {
+		query   string
+		ordered bool
+		want    int
+	}{
+		{"", false, http.StatusAccepted},
+		{"", true, http.StatusAccepted},
+		{"?key=a", true, http.StatusAccepted},
+		{"?key=a", false, http.StatusBadRequest},
+		{"?", false, http.StatusBadRequest},
+		{"?key=a&v=a", true, http.StatusBadRequest},
+		{"?key=a&key=b", true, http.StatusBadRequest},
+		{"?v=a", true, http.StatusBadRequest},
+		{"?key=%zz", true, http.StatusBadRequest},
+	} {
+		r := newTestRelay(t)
+		r.cfg.Settings.Classes[0].Ordered = c.ordered
+		req := handInRequest(t.Context(), "m1")
+		target, err := req.URL.Parse("/order" + c.query)
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.URL = target
+		w := httptest.NewRecorder()
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			r.newServer().Handler.ServeHTTP(w, req)
+		}()
+		if c.want == http.StatusAccepted {
+			r.step([]any{<-r.events})
+		}
+		<-done
+		if w.Code != c.want || c.want != http.StatusAccepted && len(r.msgs) > 0 {
+			t.Errorf("%q, ordered %v: status %d, %d messages held", c.query, c.ordered, w.Code, len(r.msgs))
+		}
+	}
+}
