Have the module refuse at once what no list names a destination for

Strangers hand in messages for dest=70000; they were taken on, held to their deadlines, and each new number left a record in the module for good. Now 503 with advice. A destination that lost its last route for the moment is waited for still.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -503,6 +503,10 @@
 // Messages.
 
 func (s *Sender) take(e *Event) {
+	if e.Resumed == nil && s.nowhere(e.Destination) {
+		s.act(Action{Kind: Refuse, ID: e.ID, Delay: min(retryAdvice, s.set.MaxRetryAfter)})
+		return
+	}
 	c := &Class{Effect: Unsafe, Ordered: true, Aim: e.Left / 2, GiveUp: e.Left, Value: 1} // the strictest
 	if e.Class >= 0 && e.Class < len(s.set.Classes) {
 		c = &s.set.Classes[e.Class]
@@ -527,6 +531,10 @@
 	s.makeRoom()
 }
 
+// nowhere tells whether no list has named a destination: a message would be held to its deadline for nothing.
+// If the list is late alone, the client may come again.
+func (s *Sender) nowhere(id int) bool { return len(s.routes) > 0 && s.dests[id] == nil }
+
 // overShare counts a message against its customer's share and tells whether it lies beyond.
 func (s *Sender) overShare(c int) bool {
 	if c < 0 || c >= len(s.shares) || s.set.Customers[c].Quota <= 0 {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -858,3 +858,31 @@
 		t.Errorf("answers take 60 ms, cut after %v", cut)
 	}
 }
+
+// Messages for destinations that do not exist were once held to their deadlines, and each left a record behind.
+func TestWhatHasNowhereToGoIsRefusedAtOnce(t *testing.T) {
+	d := newDesk(t, settings(), Listing{Route: "a", Destination: 1})
+	for i := range 100 {
+		id := uint32(i + 1)
+		acts := d.step(Event{Kind: Taken, ID: id, Destination: 70_000 + i, Left: time.Minute})
+		if len(acts) != 1 || acts[0].Kind != Refuse || acts[0].ID != id {
+			t.Fatalf("message %d: %+v", id, acts)
+		}
+	}
+	if len(d.s.dests) != 1 || len(d.s.order) != 1 || d.s.held != 0 {
+		t.Errorf("%d destinations kept, %d messages held", len(d.s.dests), d.s.held)
+	}
+	// One whose last route has just gone may get another; and what an earlier process took on is owed its time.
+	d.step(Event{Kind: ListChanges, List: []Listing{{Route: "b", Destination: 2, InService: true}, {Route: "a", Gone: true}}})
+	if acts := d.step(Event{Kind: Taken, ID: 200, Destination: 1, Left: time.Minute}); len(acts) != 0 {
+		t.Errorf("without a route for the moment: %+v", acts)
+	}
+	e := Event{Kind: Taken, ID: 201, Destination: 3, Left: time.Minute, Resumed: &Resumed{}}
+	if acts := d.step(e); len(acts) != 0 {
+		t.Errorf("taken on before: %+v", acts)
+	}
+	// With no list yet, all destinations are unknown.
+	if acts := newDesk(t, settings()).take(1, 0); len(acts) != 0 {
+		t.Errorf("before the list: %+v", acts)
+	}
+}
