After a reset send one message a call, and one more with each delivery

A call's messages share its fate. A reset at a living route counted for nothing, so bundles of ten payments went on while 29% of single calls broke, and nearly every large bundle was lost whole.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -595,6 +595,7 @@
 		}
 		short := (o == Timeout || o == ConnectFailed) && c.cut < c.sent+leastExpect
 		s.learn(r, sample{outcome: o, wait: e.Wait, sent: c.sent, short: short}, e.Took)
+		s.regroup(r, o)
 	}
 	s.touch(m.dest)
 	s.account(m, e, c)
@@ -798,7 +799,7 @@
 	c := &call{r: r, sent: s.now, expect: s.now + s.expect(r, lateDevs)}
 	room := 1
 	if r.Kind >= 0 && r.Kind < len(s.set.Kinds) && r.streak == 0 && !r.down {
-		room = max(1, s.set.Kinds[r.Kind].PerCall)
+		room = s.together(r)
 	}
 	s.send(d.cand, c)
 	if c.left == 0 {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -886,3 +886,69 @@
 		t.Errorf("before the list: %+v", acts)
 	}
 }
+
+// A connection that breaks takes the whole call with it, and unsafe messages for good: after one, calls carry a
+// single message, also where the route answers others, and one more with each delivery.
+func TestABrokenCallSplitsTheNextOnes(t *testing.T) {
+	set := settings()
+	set.Classes[2].Ordered = false
+	d := newDesk(t, set, Listing{Route: "a", Kind: 2})
+	next := uint32(1)
+	call := func(most int) (ids []uint32) {
+		t.Helper()
+		var evs []Event
+		for range 4 { // more than a call carries
+			evs = append(evs, Event{Kind: Taken, ID: next, Class: 2, Left: 60 * time.Second})
+			next++
+		}
+		acts := d.step(evs...)
+		for _, a := range acts {
+			if a.Kind == Send {
+				ids = append(ids, a.ID)
+			}
+		}
+		if len(ids) < most {
+			t.Fatalf("%d messages sent, want at least %d", len(ids), most)
+		}
+		return ids
+	}
+	end := func(o Outcome, ids ...uint32) (sent int) {
+		d.now += 50 * ms
+		var evs []Event
+		for _, id := range ids {
+			evs = append(evs, Event{Kind: Finished, ID: id, Route: "a", Outcome: o, Took: 50 * ms, Ended: o == OK})
+		}
+		for _, a := range d.step(evs...) {
+			if a.Kind == Send {
+				sent++
+			}
+		}
+		return sent
+	}
+	first := call(3)
+	if n := len(first); n != 4 { // three together, and one alone
+		t.Fatalf("%d sent", n)
+	}
+	end(OK, first...) // the route lives
+	r := d.s.routes["a"]
+	if n := d.s.together(r); n != 3 {
+		t.Fatalf("%d go together before any loss", n)
+	}
+	broken := call(3)
+	end(Reset, broken[:3]...)
+	if n := d.s.together(r); n != 1 {
+		t.Errorf("%d go together after a reset", n)
+	}
+	end(OK, broken[3])
+	if n := d.s.together(r); n != 2 {
+		t.Errorf("%d go together after a delivery", n)
+	}
+	end(OK, call(2)[:2]...)
+	if n := d.s.together(r); n != 3 {
+		t.Errorf("%d go together after two", n)
+	}
+	end(Timeout, call(3)[:3]...)
+	if n := d.s.together(r); n != 3 {
+		t.Errorf("%d go together after a time-out, which tells of the route", n)
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -57,6 +57,7 @@
 	okAt      time.Duration // last delivery
 	okSent    time.Duration // latest send that was answered
 	mean, dev time.Duration // answer times, and of what timed out a guess
+	group     float64       // messages that a call may carry since one was lost; 0: as its kind allows
 	usual     time.Duration // mean of the answers that came
 }
 
