Answer on the management address, count each message's end, drain by the module's table

The door's state (health, keep-alive, idle connections, listening, sends, end) is decided in policy/duty.go for standby, active and SIGTERM alike; the sequence of timers in the relay is gone. The listener's queue is drained before it closes. A connection on which part of a request has come is never taken for idle.

--- a/cmd/cherrytrestle/main_test.go
+++ b/cmd/cherrytrestle/main_test.go
@@ -192,10 +192,19 @@
 	t      *testing.T
 	dir    string
 	addr   string
+	mgmt   string
 	cmd    *exec.Cmd
 	client *http.Client
 }
 
+// freeAddr is a loopback address that nobody listens on.
+func freeAddr(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
 // newRelay writes the configuration; change may alter the settings.
 func newRelay(t *testing.T, p *platform, known []member, change func(settings map[string]any)) *relayProcess {
 	settings := map[string]any{
@@ -212,10 +221,7 @@
 	if change != nil {
 		change(settings)
 	}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	must(t, err)
-	r := &relayProcess{t: t, dir: t.TempDir(), addr: l.Addr().String(), client: &http.Client{Timeout: 2 * time.Second}}
-	l.Close()
+	r := &relayProcess{t: t, dir: t.TempDir(), addr: freeAddr(t), mgmt: freeAddr(t), client: &http.Client{Timeout: 2 * time.Second}}
 	must(t, os.Mkdir(filepath.Join(r.dir, "state"), 0o700))
 	config, err := json.Marshal(map[string]any{
 		"name": "n0", "seed": "8c1f30d27a5be964", "settings": settings,
@@ -244,7 +250,7 @@
 	defer log.Close()
 	r.cmd = exec.Command(os.Args[0])
 	r.cmd.Stderr = log
-	r.cmd.Env = append(os.Environ(), "CHERRYTRESTLE_TEST_RELAY=1", "ROUTER_LISTEN="+r.addr,
+	r.cmd.Env = append(os.Environ(), "CHERRYTRESTLE_TEST_RELAY=1", "ROUTER_LISTEN="+r.addr, "ROUTER_MGMT="+r.mgmt,
 		"ROUTER_DISCOVERY="+p.Listener.Addr().String(), "ROUTER_STATE="+filepath.Join(r.dir, "state"),
 		"ROUTER_CONFIG="+filepath.Join(r.dir, "config.json"))
 	must(r.t, r.cmd.Start())
--- a/internal/relay/clients.go
+++ b/internal/relay/clients.go
@@ -38,7 +38,7 @@
 	mux.HandleFunc("GET /_health", r.health)
 	mux.HandleFunc("POST /{class}", r.handIn)
 	return &http.Server{
-		Handler:        framed(mux),
+		Handler:        r.closing(framed(mux)),
 		ReadTimeout:    requestFor, // from the connection's opening for the first request; head and body
 		WriteTimeout:   requestFor,
 		IdleTimeout:    2 * time.Minute,
@@ -47,6 +47,21 @@
 	}
 }
 
+// closing ends each connection with its answer where the module has the door keep none.
+func (r *Relay) closing(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		r.mayKeep(w)
+		next.ServeHTTP(w, req)
+	})
+}
+
+// mayKeep says with an answer that its connection ends, where it is to.
+func (r *Relay) mayKeep(w http.ResponseWriter) {
+	if !r.does.Load().Keep {
+		w.Header().Set("Connection", "close")
+	}
+}
+
 // framed lets only requests through whose body is framed by Content-Length, the one form that clients use. The
 // library lets a transfer coding override a length without a word, and whoever stands before the relay may
 // have gone by the length: what is one body to them must not be read as a body and a request behind it.
@@ -84,7 +99,7 @@
 }
 
 func (r *Relay) health(w http.ResponseWriter, _ *http.Request) {
-	if !r.listed.Load() || r.ending.Load() {
+	if !r.ready() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
@@ -102,9 +117,10 @@
 		turnAway(w, bodyStatus(err), "body unreadable, or over 64 KiB")
 		return
 	}
-	in := &handIn{m: m, reply: make(chan answer, 1)}
+	in := &handIn{m: m, tally: r.tallyOf(m), reply: make(chan answer, 1)}
 	if !r.post(in) {
-		reply(w, answer{http.StatusServiceUnavailable, policy.RetryAdvice})
+		in.tally.count(handedBack)
+		r.reply(w, answer{http.StatusServiceUnavailable, policy.RetryAdvice})
 		return
 	}
 	a := <-in.reply
@@ -114,14 +130,15 @@
 			r.post(withdrawal{m.ID})
 		}
 		// It may have ended its sending alone and still read: no answer at all would reach it as a 200.
-		reply(w, answer{status: http.StatusInternalServerError})
+		r.reply(w, answer{status: http.StatusInternalServerError})
 		return
 	}
-	reply(w, a)
+	r.reply(w, a)
 }
 
 // reply writes an answer, with advice if there is any.
-func reply(w http.ResponseWriter, a answer) {
+func (r *Relay) reply(w http.ResponseWriter, a answer) {
+	r.mayKeep(w) // a drain may have begun since the request came
 	if a.again > 0 {
 		w.Header().Set("Retry-After", strconv.FormatFloat(a.again.Seconds(), 'f', 3, 64))
 	}
--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -21,6 +21,7 @@
 type Config struct {
 	Name      string
 	Listen    string // where clients connect
+	Mgmt      string // where operators ask; empty: nowhere
 	Discovery string // address of discovery's agent
 	StateDir  string // the folder that outlasts the process
 	Seed      uint64
@@ -61,6 +62,7 @@
 	}
 	for name, field := range map[string]*string{
 		"ROUTER_NAME": &c.Name, "ROUTER_LISTEN": &c.Listen, "ROUTER_DISCOVERY": &c.Discovery, "ROUTER_STATE": &c.StateDir,
+		"ROUTER_MGMT": &c.Mgmt,
 	} {
 		if v := getenv(name); v != "" && (field != &c.Discovery || *field == "") {
 			*field = v
@@ -76,6 +78,7 @@
 	var file struct {
 		Name      string          `json:"name"`
 		Listen    string          `json:"listen"`
+		Mgmt      string          `json:"mgmt"`
 		Discovery string          `json:"discovery"`
 		Seed      string          `json:"seed"`
 		Limits    Limits          `json:"limits"`
@@ -116,7 +119,7 @@
 		return Config{}, fmt.Errorf("settings: %w", err)
 	}
 	c := Config{
-		Name: file.Name, Listen: file.Listen, Discovery: file.Discovery, Limits: file.Limits, Settings: set,
+		Name: file.Name, Listen: file.Listen, Mgmt: file.Mgmt, Discovery: file.Discovery, Limits: file.Limits, Settings: set,
 		Zones: own.Zones, Kinds: own.Kinds, MayDuplicate: own.Bounds.MayDuplicate,
 		ConnectTimeout: millis(own.Bounds.ConnectTimeoutMS), KeepAlive: millis(own.Bounds.KeepAliveMS),
 		Tick: min(millis(own.TickMS), tickMost),
--- a/internal/relay/door.go
+++ b/internal/relay/door.go
@@ -1,11 +1,16 @@
 package relay
 
 import (
+	"errors"
 	"log/slog"
 	"net"
 	"net/http"
+	"os"
 	"sync"
+	"sync/atomic"
 	"time"
+
+	"onyxroad.dev/onyxroad/policy"
 )
 
 const (
@@ -15,6 +20,11 @@
 	spareAfter = 2 * time.Second
 
 	doorLogEvery = 10 * time.Second
+
+	sweepEvery = 50 * time.Millisecond
+	// queueFor is how long a listener that is about to close goes without a connection first: closed with some in
+	// its queue, it would reset them.
+	queueFor = 20 * time.Millisecond
 )
 
 // door is the listener that clients come through. It holds so many connections at most, as a LimitListener
@@ -29,11 +39,35 @@
 
 	mu       sync.Mutex
 	visits   map[net.Conn]visit
+	does     policy.Door   // what the module has it do
+	sweeping bool          // a sweep is to come
 	left     chan struct{} // closed and made anew when a connection ends or changes its state
 	shed     int           // closed at the cap since the last line that told so
 	loggedAt time.Time
 }
 
+// guest is a connection that tells when it was last heard of.
+type guest struct {
+	net.Conn
+	heard atomic.Int64 // Unix time in nanoseconds of its last byte; 0: none has come
+}
+
+func (g *guest) Read(b []byte) (int, error) {
+	n, err := g.Conn.Read(b)
+	if n > 0 {
+		g.heard.Store(time.Now().UnixNano())
+	}
+	return n, err
+}
+
+// CloseWrite ends the answer and leaves the peer time to take it in, where the connection can.
+func (g *guest) CloseWrite() error {
+	if half, ok := g.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
 // visit is the state of a connection, and since when.
 type visit struct {
 	state http.ConnState
@@ -43,16 +77,21 @@
 func newDoor(l net.Listener, log *slog.Logger, most int) *door {
 	return &door{
 		Listener: l, log: log, most: most, closed: make(chan struct{}),
-		visits: map[net.Conn]visit{}, left: make(chan struct{}),
+		visits: map[net.Conn]visit{}, left: make(chan struct{}), does: policy.Door{Listen: true, IdleFor: -1},
 	}
 }
 
 // Accept returns the next connection once there is room for it.
 func (d *door) Accept() (net.Conn, error) {
-	conn, err := d.Listener.Accept()
+	raw, err := d.Listener.Accept()
+	if errors.Is(err, os.ErrDeadlineExceeded) { // see stopListening
+		d.Close()
+		return nil, net.ErrClosed
+	}
 	if err != nil {
 		return nil, err
 	}
+	conn := &guest{Conn: raw}
 	for {
 		wait, left := d.admit(conn)
 		if wait <= 0 {
@@ -140,6 +179,68 @@
 	}
 }
 
+// attend does what the module decided: it ends idle connections, now or as they get older, and stops listening. It
+// never waits.
+func (d *door) attend(does policy.Door) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	closing := d.does.Listen && !does.Listen
+	d.does = does
+	if closing {
+		go d.stopListening()
+	}
+	d.sweep1()
+	if !d.sweeping && does.IdleFor >= 0 {
+		d.sweeping = true
+		time.AfterFunc(sweepEvery, d.sweep)
+	}
+}
+
+// sweep closes what has become idle, for as long as the module wants that.
+func (d *door) sweep() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.sweep1()
+	if d.sweeping = d.does.IdleFor >= 0 && len(d.visits) > 0; d.sweeping {
+		time.AfterFunc(sweepEvery, d.sweep)
+	}
+}
+
+// sweep1 is one look at all connections. One on which part of a request has come is never idle.
+func (d *door) sweep1() {
+	if d.does.IdleFor < 0 {
+		return
+	}
+	now := time.Now()
+	for conn, v := range d.visits {
+		least := max(silentFor, d.does.IdleFor)
+		switch g, ok := conn.(*guest); {
+		case v.state == http.StateIdle:
+			least = d.does.IdleFor
+		case v.state != http.StateNew || !ok || g.heard.Load() != 0:
+			continue
+		}
+		if now.Sub(v.since) >= least {
+			conn.Close() // the server tells of its end
+		}
+	}
+}
+
+// stopListening closes the listener once its queue is empty.
+func (d *door) stopListening() {
+	if l, ok := d.Listener.(interface{ SetDeadline(time.Time) error }); ok && l.SetDeadline(time.Now().Add(queueFor)) == nil {
+		return // an Accept ends by it
+	}
+	d.Close()
+}
+
+// count is how many connections there are.
+func (d *door) count() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.visits)
+}
+
 // Close ends an Accept that waits for room, too.
 func (d *door) Close() error {
 	d.once.Do(func() { close(d.closed) })
--- a/internal/relay/hosts.go
+++ b/internal/relay/hosts.go
@@ -96,7 +96,7 @@
 		connectTimeout: cfg.ConnectTimeout,
 		idleFor:        time.Duration(idleShare * float64(cfg.KeepAlive)),
 		reports:        cfg.Reports,
-		most:           cfg.Limits.Sockets * 3 / 8,
+		most:           cfg.Limits.Sockets / 3,
 		idle:           map[string][]*idleConn{},
 		lines:          map[*http.ClientConn]*lineConn{},
 	}
@@ -135,7 +135,15 @@
 		line.begin()
 	}
 	var written atomic.Bool
-	trace := &httptrace.ClientTrace{WroteRequest: func(i httptrace.WroteRequestInfo) { written.Store(i.Err == nil) }}
+	trace := &httptrace.ClientTrace{WroteRequest: func(i httptrace.WroteRequestInfo) {
+		if i.Err != nil {
+			return
+		}
+		written.Store(true)
+		for _, a := range c.attempts {
+			a.m.tally.tried()
+		}
+	}}
 	res, err := conn.RoundTrip(req.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	if err != nil {
 		h.drop(conn)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -27,18 +27,14 @@
 	// clockStart keeps the module's clock away from 0, which it takes for never.
 	clockStart = time.Second
 
-	// The parts of a planned end, from SIGTERM, after which SIGKILL comes no sooner than 3.7 s. New connections
-	// go on coming for up to 0.4 s.
-	acceptFor = 500 * time.Millisecond
-	answerFor = time.Second             // requests that were read by then have their answers
-	sendFor   = 2200 * time.Millisecond // no new calls after this: they would be cut off with no outcome
-	endBy     = 3300 * time.Millisecond
+	endingStep = 20 * time.Millisecond // how often a relay that ends looks whether anything is left
 )
 
 // The events of the loop, besides policy's own.
 type (
 	handIn struct {
 		m     *wal.Message
+		tally *tally
 		reply chan answer // takes one without waiting
 	}
 	withdrawal struct{ id uint32 }
@@ -52,9 +48,8 @@
 		reply chan bool
 	}
 	confirmed struct{ ids []uint32 } // their notices were taken
-	stopping  struct{}               // no more messages come
-	noSends   struct{}               // from here on only outcomes are noted
 	nudge     struct{}               // asks for a step
+	look      struct{}               // the same, to see whether anything is left
 )
 
 // message is a message that the relay has not done with.
@@ -66,6 +61,9 @@
 
 	again     bool // a further connection was told that it is taken on
 	withdrawn bool // its client left before any answer
+
+	tally   *tally
+	counted bool // its end is in the figures
 }
 
 // Relay is one relay.
@@ -76,12 +74,18 @@
 	finals *finals
 	agent  *http.Client
 	events chan any
-	moves  chan string   // where discovery is now, if it moved
-	over   chan struct{} // closed when the loop has ended
-	idle   chan struct{} // closed when the relay is stopping and nothing is left to wait for
-	listed atomic.Bool   // it has recovered and holds a list
-	ending atomic.Bool   // SIGTERM came
+	moves  chan string           // where discovery is now, if it moved
+	wishes chan policy.EventKind // standby or active, the last that was asked for
+	over   chan struct{}         // closed when the loop has ended
+	idle   chan struct{}         // closed when the relay is stopping and nothing is left to wait for
+	listed atomic.Bool           // it has recovered and holds a list
+	served atomic.Bool           // clients are let in
+	ending atomic.Bool           // SIGTERM came
+	does   atomic.Pointer[policy.Door]
 	calls  sync.WaitGroup
+	entry  *door // nil until the relay serves
+
+	figures figures
 
 	// Owned by the loop.
 	callCtx context.Context
@@ -99,7 +103,8 @@
 	later   []policy.Event // for the next step
 	full    bool           // the log took no new work last
 
-	stopping, noSends, idled bool
+	noSends, idled bool
+	looking        bool // a look is to come
 }
 
 // target is what the relay keeps of a listed host.
@@ -120,16 +125,21 @@
 	}
 	r := &Relay{
 		cfg: cfg, log: log, hosts: newHosts(cfg), agent: newAgentClient(),
-		events: make(chan any, eventRoom), moves: make(chan string, 1), over: make(chan struct{}), idle: make(chan struct{}),
+		events: make(chan any, eventRoom), moves: make(chan string, 1), wishes: make(chan policy.EventKind, 1),
+		over: make(chan struct{}), idle: make(chan struct{}),
 		started: time.Now().Add(-clockStart), sender: sender, wal: w,
 		msgs: map[uint32]*message{}, traces: map[string]*message{}, routes: map[string]target{},
 	}
 	r.finals = newFinals(log, r.agent, cfg.Discovery, func(ids []uint32) { r.post(confirmed{ids}) })
 	r.found = recovered
+	r.does.Store(&policy.Door{Ready: true, Keep: true, IdleFor: -1, Listen: true, Send: true})
+	for _, class := range cfg.Classes {
+		r.figures.of(class)
+	}
 	return r, nil
 }
 
-// Run serves until ctx ends, and then ends in order: see endBy.
+// Run serves until ctx ends, and then ends in order, as the module has it.
 func (r *Relay) Run(ctx context.Context) error {
 	listener, err := net.Listen("tcp", r.cfg.Listen)
 	if err != nil {
@@ -137,9 +147,15 @@
 	}
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
+	if err := r.startMgmt(work); err != nil {
+		return errors.Join(err, listener.Close(), r.wal.Close())
+	}
 	callCtx, stopCalls := context.WithCancel(context.Background())
 	defer stopCalls()
 	r.callCtx = callCtx
+	server := r.newServer()
+	r.entry = newDoor(listener, r.log, r.cfg.Limits.Sockets/2)
+	server.ConnState = r.entry.note
 	r.resume() // before clients are told that the relay is ready
 	go r.loop(work)
 	go r.finals.run(work)
@@ -154,18 +170,13 @@
 		r.followMoves(work, &list)
 	}()
 
-	server := r.newServer()
-	entry := newDoor(listener, r.log, r.cfg.Limits.Sockets/2)
-	server.ConnState = entry.note
 	served := make(chan error, 1)
-	go func() { served <- server.Serve(entry) }()
+	go func() { served <- server.Serve(r.entry) }()
+	r.served.Store(true)
 	r.log.Info("serving", "name", r.cfg.Name, "listen", listener.Addr().String())
-	select {
-	case <-ctx.Done():
-		r.shutDown(server)
-	case err = <-served:
-		err = fmt.Errorf("relay: serve: %w", err)
-	}
+	err = r.wait(ctx, served)
+	r.ending.Store(true)
+	server.Close() // connections on which no whole request came
 	stopCalls()
 	r.calls.Wait() // their outcomes reach the log
 	stop()
@@ -175,6 +186,45 @@
 	return errors.Join(err, r.wal.Close())
 }
 
+// startMgmt serves the management address, where the configuration has one, until ctx ends.
+func (r *Relay) startMgmt(ctx context.Context) error {
+	if r.cfg.Mgmt == "" {
+		return nil
+	}
+	l, err := net.Listen("tcp", r.cfg.Mgmt)
+	if err != nil {
+		return fmt.Errorf("relay: management address: %w", err)
+	}
+	g := &mgmt{listener: l, log: r.log, most: mgmtMost(r.cfg.Limits.Sockets), answer: r.manage}
+	go g.run(ctx)
+	return nil
+}
+
+// wait returns when the relay is to end: the module has ended it after ctx did, or the server failed.
+func (r *Relay) wait(ctx context.Context, served <-chan error) error {
+	told := ctx.Done()
+	for {
+		select {
+		case <-told:
+			told = nil
+			r.ending.Store(true)
+			r.post(policy.Ending)
+		case err := <-served:
+			if r.does.Load().Listen {
+				return fmt.Errorf("relay: serve: %w", err)
+			}
+			served = nil // the listener is closed; connections that were let in are served still
+		case <-r.idle:
+			return nil
+		}
+	}
+}
+
+// ready tells whether clients are to be sent here.
+func (r *Relay) ready() bool {
+	return r.listed.Load() && !r.ending.Load() && r.does.Load().Ready
+}
+
 // Reconfigure takes on what a new configuration changes for a running relay: where discovery is. It may be called
 // from any goroutine and never waits; of several addresses the last counts.
 func (r *Relay) Reconfigure(cfg Config) {
@@ -212,32 +262,6 @@
 	}
 }
 
-// shutDown is the planned end. Connections that are idle close at once, and a request that crosses that comes
-// once more on a new connection, which is still taken; what was read is answered, and running calls may finish.
-func (r *Relay) shutDown(server *http.Server) {
-	began := time.Now()
-	by := func(d time.Duration) <-chan time.Time { return time.After(time.Until(began.Add(d))) }
-	r.ending.Store(true)
-	server.SetKeepAlivesEnabled(false)
-	<-by(acceptFor)
-	ctx, cancel := context.WithDeadline(context.Background(), began.Add(answerFor))
-	defer cancel()
-	if err := server.Shutdown(ctx); err != nil {
-		server.Close() // connections on which no request came
-	}
-	r.post(stopping{})
-	select {
-	case <-r.idle:
-		return
-	case <-by(sendFor):
-	}
-	r.post(noSends{})
-	select {
-	case <-r.idle:
-	case <-by(endBy):
-	}
-}
-
 // post hands an event to the loop; false if that has ended.
 func (r *Relay) post(e any) bool {
 	select {
@@ -261,16 +285,17 @@
 		evs = append(evs, r.list(known))
 	}
 	for _, w := range found.Messages {
-		m := &message{Message: w, sends: w.Attempts}
+		m := &message{Message: w, sends: w.Attempts, tally: r.tallyOf(w)}
 		r.msgs[m.ID], r.traces[m.Trace] = m, m
 		r.lastID = max(r.lastID, m.ID)
 		switch {
 		case w.Final != nil:
-			m.ended = true
+			m.ended, m.counted = true, true // by the process that decided it
 			r.notify(m)
 		case found.Damaged:
 			// What it has sent may be missing from the log: nothing can be promised.
 			m.ended = true
+			m.count(failed)
 			r.wal.Decide(w, wal.Final{})
 			r.notify(m)
 		default:
@@ -284,6 +309,14 @@
 	r.carryOut(r.sender.Step(r.now(), evs), nil)
 }
 
+// tallyOf is the tally of a message's class.
+func (r *Relay) tallyOf(m *wal.Message) *tally {
+	if m.Class < 0 || m.Class >= len(r.cfg.Classes) {
+		return nil
+	}
+	return r.figures.of(r.cfg.Classes[m.Class])
+}
+
 // resumed tells the module of a message of an earlier process, in the module's own time.
 func (r *Relay) resumed(m *message) policy.Event {
 	e := r.taken(m)
@@ -319,6 +352,8 @@
 			return
 		case e := <-r.events:
 			batch = append(batch, e)
+		case k := <-r.wishes:
+			batch = append(batch, k)
 		case <-timer.C:
 		}
 		if rest := r.cfg.Tick - time.Since(last); rest > 0 {
@@ -386,10 +421,10 @@
 					r.retire(m)
 				}
 			}
-		case stopping:
-			r.stopping = true
-		case noSends:
-			r.noSends = true
+		case look:
+			r.looking = false
+		case policy.EventKind:
+			evs = append(evs, policy.Event{Kind: e})
 		}
 	}
 	fresh := r.accept(ins)
@@ -404,9 +439,36 @@
 	for _, c := range asked {
 		c.reply <- !r.noSends && r.sender.MayStill(c.route, r.now())
 	}
-	if r.stopping && !r.idled && (len(r.msgs) == 0 || r.noSends && r.out == 0) {
+	r.figures.active.Store(int64(r.held))
+	r.figures.poolSize.Store(int64(len(r.routes)))
+	r.figures.poolEjected.Store(int64(r.sender.Avoided()))
+	r.endIfIdle()
+}
+
+// endIfIdle tells Run where the module has ended the relay, or has closed its door and nothing is left to wait for.
+func (r *Relay) endIfIdle() {
+	does := r.does.Load()
+	if r.idled || does.Listen && !does.Over {
+		return
+	}
+	done := len(r.msgs) == 0 || !does.Send && r.out == 0
+	if does.Over || done && r.entry.count() == 0 {
 		r.idled = true
 		close(r.idle)
+		return
+	}
+	if !r.looking {
+		r.looking = true
+		time.AfterFunc(endingStep, func() { r.post(look{}) })
+	}
+}
+
+// attend has the client side do what the module decided.
+func (r *Relay) attend(does policy.Door) {
+	r.log.Info("door", "ready", does.Ready, "keep", does.Keep, "listen", does.Listen, "send", does.Send, "over", does.Over)
+	r.does.Store(&does)
+	if r.entry != nil {
+		r.entry.attend(does)
 	}
 }
 
@@ -420,11 +482,12 @@
 		case r.traces[in.m.Trace] != nil:
 			in.reply <- r.handedInAgain(r.traces[in.m.Trace])
 		case r.cfg.Settings.MaxHeld > 0 && r.held >= r.cfg.Settings.MaxHeld:
+			in.tally.count(handedBack)
 			in.reply <- answer{http.StatusServiceUnavailable, policy.RetryAdvice}
 		default:
 			r.lastID++
 			in.m.ID = r.lastID
-			m := &message{Message: in.m}
+			m := &message{Message: in.m, tally: in.tally}
 			r.msgs[m.ID], r.traces[m.Trace] = m, m
 			r.held++
 			fresh, ms = append(fresh, in), append(ms, in.m)
@@ -443,6 +506,7 @@
 			r.held--
 			delete(r.msgs, in.m.ID)
 			delete(r.traces, in.m.Trace)
+			in.tally.count(handedBack)
 			in.reply <- answer{http.StatusServiceUnavailable, policy.RetryAdvice}
 		}
 		return nil
@@ -469,6 +533,7 @@
 		return evs
 	}
 	m.withdrawn = true
+	m.count(withdrawn)
 	return r.withdraw(evs, id)
 }
 
@@ -500,6 +565,7 @@
 	if a.over {
 		// It was cut off, and its call went on for others. A delivery still ends the message.
 		if ok {
+			m.count(delivered)
 			evs = r.withdraw(evs, m.ID)
 		}
 		return evs
@@ -514,6 +580,11 @@
 		r.wal.NeverRan(m.Message, a.n)
 	}
 	if ok || res.gone {
+		if res.gone {
+			m.count(failed)
+		} else {
+			m.count(delivered)
+		}
 		r.done(m)
 		r.wal.End(m.Message)
 	}
@@ -598,6 +669,11 @@
 				continue
 			}
 			r.done(m)
+			if a.Kind == policy.Refuse {
+				m.count(handedBack)
+			} else {
+				m.count(failed)
+			}
 			if _, ok := answers[a.ID]; ok {
 				answers[a.ID] = answer{http.StatusServiceUnavailable, a.Delay}
 				if a.Kind == policy.Fail {
@@ -611,6 +687,8 @@
 			ended = append(ended, m)
 		case policy.Wake:
 			r.wakeAt = time.Now().Add(a.Delay) // the module keeps one wake in mind, the last that it asked for
+		case policy.Attend:
+			r.attend(a.Door)
 		case policy.CloseIdle:
 			r.hosts.closeIdle(r.routes[a.Route].addr)
 		}
--- a/policy/api.go
+++ b/policy/api.go
@@ -94,6 +94,9 @@
 	ListFailed                   // a call for the list failed
 	Woken                        // a wake came due
 	Probed                       // a probe has its outcome
+	Standby                      // clients are to be sent elsewhere
+	Active                       // and may come again
+	Ending                       // the process was told to end
 )
 
 // Report is what a destination tells of its limit. It is late and noisy.
@@ -152,6 +155,7 @@
 	Wake                        // ask for a Woken event after Delay
 	CloseIdle                   // close the idle connections to a route
 	Watch                       // subscribe to list changes
+	Attend                      // the client side is to do what Door says; until the first, all is open
 )
 
 // Action is one thing that a Sender decides.
@@ -161,4 +165,5 @@
 	Route string
 	At    time.Duration // Send: time to drop the attempt
 	Delay time.Duration // Refuse: advice to the client; Wake: time from now
+	Door  Door          // Attend
 }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -114,7 +114,7 @@
 		set: set, rng: rand.New(rand.NewPCG(seed, 0x6f6e7978)),
 		routes: map[string]*route{}, least: map[int]float64{}, dests: map[int]*dest{},
 		scarce: map[int]time.Duration{}, msgs: map[uint32]*message{}, turns: map[string]*turn{},
-		shares: make([]bucket, len(set.Customers)),
+		shares: make([]bucket, len(set.Customers)), duty: duty{told: open},
 	}, nil
 }
 
@@ -130,7 +130,9 @@
 	}
 	s.unpark()
 	s.endDue()
-	s.dispatch()
+	if s.attend(); s.duty.told.Send {
+		s.dispatch()
+	}
 	if n := len(s.ends); n > 0 {
 		s.wake(s.ends[0].at)
 	}
@@ -165,6 +167,12 @@
 		if s.set.AskList {
 			s.act(Action{Kind: Watch})
 		}
+	case Standby:
+		s.turnTo(standby)
+	case Active:
+		s.turnTo(nil)
+	case Ending:
+		s.turnTo(ending)
 	}
 }
 
@@ -447,6 +455,17 @@
 	}
 }
 
+// Avoided counts the listed routes that messages pass over: those in the skip table for their failures.
+func (s *Sender) Avoided() int {
+	n := 0
+	for _, r := range s.routes {
+		if r.down {
+			n++
+		}
+	}
+	return n
+}
+
 // alive tells whether a route has answered of late.
 func (s *Sender) alive(r *route) bool { return r.okAt > 0 && s.now-r.okAt < aliveSpan }
 
--- a/policy/resume.go
+++ b/policy/resume.go
@@ -36,5 +36,5 @@
 // was held up, by a slow connection say, while a drain or a wait was told.
 func (s *Sender) MayStill(route string, now time.Duration) bool {
 	r := s.routes[route]
-	return r != nil && r.InService && now >= r.gate.wait
+	return r != nil && r.InService && now >= r.gate.wait && s.duty.told.Send
 }
--- a/policy/state.go
+++ b/policy/state.go
@@ -143,6 +143,7 @@
 	held     int
 	slots    int // used
 	shares   []bucket
+	duty     duty
 	ends     endHeap
 	wakeAt   time.Duration // earliest wake asked for; 0: none
 	wantWake time.Duration
