Take new settings at SIGHUP as one checked event; open messages keep their terms

The file is checked whole before anything changes: what it lacks against the file in force, deadlines and attempts that are numbers above 0, classes named once. Counted as applied or rejected.

--- a/cmd/cherrytrestle/main.go
+++ b/cmd/cherrytrestle/main.go
@@ -49,7 +49,7 @@
 		for {
 			select {
 			case <-reload:
-				reconfigure(r)
+				r.Reload(os.Getenv)
 			case <-ended:
 				return
 			}
@@ -57,14 +57,3 @@
 	}()
 	return r.Run(ctx)
 }
-
-// reconfigure has the relay take on the configuration as it is now. One that cannot be read changes nothing: the
-// relay goes on with what it has.
-func reconfigure(r *relay.Relay) {
-	cfg, err := relay.LoadConfig(os.Getenv)
-	if err != nil {
-		slog.Warn("configuration not taken on", "err", err)
-		return
-	}
-	r.Reconfigure(cfg)
-}
--- a/cmd/cherrytrestle/running_test.go
+++ b/cmd/cherrytrestle/running_test.go
@@ -1,11 +1,15 @@
 package main
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -38,6 +42,15 @@
 	return ""
 }
 
+// deliver answers a call, of one message or several, as delivered.
+func deliver(w http.ResponseWriter, ids []string) {
+	states := []map[string]string{}
+	for _, id := range ids {
+		states = append(states, map[string]string{"id": id, "state": "ok"})
+	}
+	json.NewEncoder(w).Encode(states)
+}
+
 // A drain sends clients away and loses nobody; the process goes on, and clients come back when it is undone.
 func TestStandbyAndActive(t *testing.T) {
 	p, h := newPlatform(t), newHost(t, nil)
@@ -84,3 +97,50 @@
 		t.Error("the figures have no end")
 	}
 }
+
+// A class that SIGHUP adds is taken; one that it drops is not, but what is open of it keeps its terms, also in the
+// next process. A bad file changes nothing and is counted.
+func TestSIGHUPChangesClasses(t *testing.T) {
+	p := newPlatform(t)
+	var open atomic.Bool
+	h := newHost(t, func(w http.ResponseWriter, _ *http.Request, ids []string) {
+		if open.Load() {
+			deliver(w, ids)
+			return
+		}
+		w.Header().Set("Retry-After", "5")
+		w.WriteHeader(http.StatusTooManyRequests)
+	})
+	r := newRelay(t, p, []member{listed("s-1", h.addr(), "a", "platform", "ready")}, nil)
+	r.take("m1", 12*time.Second)
+	eventually(t, "the host shut, so that no call is out", func() bool { return figure(t, r.mgmt, "relay.pool_ejected") == "1" })
+	path := filepath.Join(r.dir, "config.json")
+	text, err := os.ReadFile(path)
+	must(t, err)
+	var config map[string]any
+	must(t, json.Unmarshal(text, &config))
+	config["discovery"] = p.Listener.Addr().String()
+	services := config["settings"].(map[string]any)["services"].([]any)
+	service := services[0].(map[string]any)
+	service["name"], service["semantics"] = "parcel", "non_idempotent"
+	changed, err := json.Marshal(config)
+	must(t, err)
+	r.reconfigure(changed[:len(changed)/2])
+	eventually(t, "turned down", func() bool { return figure(t, r.mgmt, "relay.config_rejected") == "1" })
+	r.take("m2", 12*time.Second)
+	r.reconfigure(changed)
+	eventually(t, "taken on", func() bool { return figure(t, r.mgmt, "relay.config_applied") == "1" })
+	parcel := func(q *http.Request) { q.URL.Path = "/parcel"; q.Header.Set("X-Qos", "parcel") }
+	if status, _ := r.handIn("m3", 12*time.Second, parcel); status != http.StatusAccepted {
+		t.Errorf("the new class: status %d", status)
+	}
+	if status, _ := r.handIn("m4", 12*time.Second, nil); status != http.StatusBadRequest {
+		t.Errorf("the class that is gone: status %d", status)
+	}
+	open.Store(true)
+	r.kill()
+	r.start(p)
+	eventually(t, "all delivered and counted for their classes", func() bool {
+		return figure(t, r.mgmt, "relay.ok.order") == "2" && figure(t, r.mgmt, "relay.ok.parcel") == "1"
+	})
+}
--- a/internal/relay/clients.go
+++ b/internal/relay/clients.go
@@ -107,7 +107,7 @@
 // handIn takes one message. Whatever is malformed ends here and never reaches the decision module.
 func (r *Relay) handIn(w http.ResponseWriter, req *http.Request) {
 	came := time.Now()
-	m, left, err := r.parse(req)
+	m, c, left, err := r.parse(req)
 	if err != nil {
 		turnAway(w, http.StatusBadRequest, err.Error())
 		return
@@ -117,9 +117,9 @@
 		turnAway(w, bodyStatus(err), "body unreadable, or over 64 KiB")
 		return
 	}
-	in := &handIn{m: m, tally: r.tallyOf(m), reply: make(chan answer, 1)}
+	in := &handIn{m: m, class: c, reply: make(chan answer, 1)}
 	if !r.post(in) {
-		in.tally.count(handedBack)
+		c.tally.count(handedBack)
 		r.reply(w, answer{http.StatusServiceUnavailable, policy.RetryAdvice})
 		return
 	}
@@ -146,49 +146,50 @@
 }
 
 // parse reads all of a request but its body.
-func (r *Relay) parse(req *http.Request) (m *wal.Message, left time.Duration, err error) {
+func (r *Relay) parse(req *http.Request) (m *wal.Message, c *class, left time.Duration, err error) {
+	names := r.names.Load()
+	c = names.classes[req.PathValue("class")]
 	m = &wal.Message{
 		Trace: req.Header.Get("X-Trace-Id"),
 		Key:   req.Header.Get("Idempotency-Key"),
 		Order: req.URL.Query().Get("key"), // what the message is about, where its class keeps order
-		Class: slices.Index(r.cfg.Classes, req.PathValue("class")),
 	}
 	switch {
-	case m.Class < 0:
-		return nil, 0, fmt.Errorf("unknown class %q", req.PathValue("class"))
+	case c == nil:
+		return nil, nil, 0, fmt.Errorf("unknown class %q", req.PathValue("class"))
 	case req.Header.Get("X-Qos") != req.PathValue("class"):
-		return nil, 0, errors.New("X-Qos and the path differ")
-	case !r.knownQuery(req, m):
-		return nil, 0, errors.New("unknown query")
+		return nil, nil, 0, errors.New("X-Qos and the path differ")
+	case !knownQuery(req, c):
+		return nil, nil, 0, errors.New("unknown query")
 	case m.Trace == "" || max(len(m.Trace), len(m.Key), len(m.Order)) > traceMost:
-		return nil, 0, errors.New("no X-Trace-Id, or an id or key too long")
-	case m.Key == "" && r.cfg.Settings.Classes[m.Class].Effect == policy.Keyed:
-		return nil, 0, errors.New("no Idempotency-Key")
+		return nil, nil, 0, errors.New("no X-Trace-Id, or an id or key too long")
+	case m.Key == "" && c.terms.Effect == policy.Keyed:
+		return nil, nil, 0, errors.New("no Idempotency-Key")
 	}
-	if len(r.cfg.Customers) > 0 {
-		if m.Customer = slices.Index(r.cfg.Customers, req.Header.Get("X-Customer")); m.Customer < 0 {
-			return nil, 0, fmt.Errorf("unknown customer %q", req.Header.Get("X-Customer"))
+	if len(names.customers) > 0 {
+		if m.Customer = slices.Index(names.customers, req.Header.Get("X-Customer")); m.Customer < 0 {
+			return nil, nil, 0, fmt.Errorf("unknown customer %q", req.Header.Get("X-Customer"))
 		}
 	}
 	ms, err := strconv.ParseInt(req.Header.Get("X-Expires-In-Ms"), 10, 64)
 	if err != nil || ms < 0 || ms > expiresTop.Milliseconds() {
-		return nil, 0, errors.New("bad X-Expires-In-Ms")
+		return nil, nil, 0, errors.New("bad X-Expires-In-Ms")
 	}
 	if m.Dest, err = destination(req.Header.Get("Envelope")); err != nil {
-		return nil, 0, err
+		return nil, nil, 0, err
 	}
-	return m, time.Duration(ms) * time.Millisecond, nil
+	return m, c, time.Duration(ms) * time.Millisecond, nil
 }
 
 // knownQuery tells whether the request's query is one that clients send: the key, where the class keeps order.
 // Any other comes from a stranger, who may have an id of a client's: taken on first, its message would stand in
 // the place of the client's own.
-func (r *Relay) knownQuery(req *http.Request, m *wal.Message) bool {
+func knownQuery(req *http.Request, c *class) bool {
 	if req.URL.RawQuery == "" && !req.URL.ForceQuery {
 		return true
 	}
 	query, err := url.ParseQuery(req.URL.RawQuery)
-	return err == nil && r.cfg.Settings.Classes[m.Class].Ordered && len(query) == 1 && len(query["key"]) == 1
+	return err == nil && c.terms.Ordered && len(query) == 1 && len(query["key"]) == 1
 }
 
 // destination finds dest among the name=value pairs of an envelope.
--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -39,6 +39,8 @@
 	Tick           time.Duration // the module is asked no more often than this
 	MayDuplicate   bool          // two attempts of a message may be out at once
 	Reports        []string      // fields of the hosts' load reports; empty: none are sent
+
+	tree map[string]any // the file as it stands, to see what another one lacks
 }
 
 // Limits are those of the relay's machine.
@@ -140,6 +142,9 @@
 			return Config{}, fmt.Errorf("known: %w", err)
 		}
 	}
+	if err := json.Unmarshal(data, &c.tree); err != nil {
+		return Config{}, err
+	}
 	c.setDefaults()
 	return c, nil
 }
--- a/internal/relay/mgmt_test.go
+++ b/internal/relay/mgmt_test.go
@@ -118,7 +118,7 @@
 func TestEachEndIsCountedOnce(t *testing.T) {
 	handIn := func(r *Relay, id string) *message {
 		in := &handIn{m: &wal.Message{Trace: id, Key: "k", Dest: 7, Deadline: time.Now().Add(5 * time.Second)}, reply: make(chan answer, 1)}
-		in.tally = r.tallyOf(in.m)
+		in.class = r.names.Load().classes["order"]
 		r.step([]any{in})
 		<-in.reply
 		return r.traces[id]
--- a/internal/relay/peers_test.go
+++ b/internal/relay/peers_test.go
@@ -274,7 +274,7 @@
 		{"?key=%zz", true, http.StatusBadRequest},
 	} {
 		r := newTestRelay(t)
-		r.cfg.Settings.Classes[0].Ordered = c.ordered
+		r.names.Load().classes["order"].terms.Ordered = c.ordered
 		req := handInRequest(t.Context(), "m1")
 		target, err := req.URL.Parse("/order" + c.query)
 		if err != nil {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -34,7 +34,7 @@
 type (
 	handIn struct {
 		m     *wal.Message
-		tally *tally
+		class *class
 		reply chan answer // takes one without waiting
 	}
 	withdrawal struct{ id uint32 }
@@ -62,6 +62,7 @@
 	again     bool // a further connection was told that it is taken on
 	withdrawn bool // its client left before any answer
 
+	class   *class // nil: its terms are lost, and the strictest hold
 	tally   *tally
 	counted bool // its end is in the figures
 }
@@ -86,6 +87,8 @@
 	entry  *door // nil until the relay serves
 
 	figures figures
+	names   atomic.Pointer[names]
+	force   Config // the one that a new one is checked against; Reload's
 
 	// Owned by the loop.
 	callCtx context.Context
@@ -133,8 +136,9 @@
 	r.finals = newFinals(log, r.agent, cfg.Discovery, func(ids []uint32) { r.post(confirmed{ids}) })
 	r.found = recovered
 	r.does.Store(&policy.Door{Ready: true, Keep: true, IdleFor: -1, Listen: true, Send: true})
-	for _, class := range cfg.Classes {
-		r.figures.of(class)
+	r.force = cfg
+	if err := r.install(cfg); err != nil {
+		return nil, errors.Join(fmt.Errorf("relay: %w", err), w.Close())
 	}
 	return r, nil
 }
@@ -225,9 +229,9 @@
 	return r.listed.Load() && !r.ending.Load() && r.does.Load().Ready
 }
 
-// Reconfigure takes on what a new configuration changes for a running relay: where discovery is. It may be called
-// from any goroutine and never waits; of several addresses the last counts.
+// Reconfigure puts a checked configuration in force, and follows discovery to where it says.
 func (r *Relay) Reconfigure(cfg Config) {
+	r.post(reconfigured{cfg})
 	for {
 		select {
 		case r.moves <- cfg.Discovery:
@@ -244,7 +248,7 @@
 // followMoves follows discovery from address to address until ctx ends.
 func (r *Relay) followMoves(ctx context.Context, list *follower) {
 	defer list.end()
-	at := r.cfg.Discovery
+	at := list.addr
 	for {
 		select {
 		case <-ctx.Done():
@@ -285,7 +289,8 @@
 		evs = append(evs, r.list(known))
 	}
 	for _, w := range found.Messages {
-		m := &message{Message: w, sends: w.Attempts, tally: r.tallyOf(w)}
+		m := r.newMessage(w, r.classOf(w))
+		m.sends = w.Attempts
 		r.msgs[m.ID], r.traces[m.Trace] = m, m
 		r.lastID = max(r.lastID, m.ID)
 		switch {
@@ -309,12 +314,13 @@
 	r.carryOut(r.sender.Step(r.now(), evs), nil)
 }
 
-// tallyOf is the tally of a message's class.
-func (r *Relay) tallyOf(m *wal.Message) *tally {
-	if m.Class < 0 || m.Class >= len(r.cfg.Classes) {
-		return nil
+// newMessage is a message of a class, nil where its terms are lost.
+func (r *Relay) newMessage(w *wal.Message, c *class) *message {
+	m := &message{Message: w, class: c}
+	if c != nil {
+		m.tally = c.tally
 	}
-	return r.figures.of(r.cfg.Classes[m.Class])
+	return m
 }
 
 // resumed tells the module of a message of an earlier process, in the module's own time.
@@ -330,10 +336,14 @@
 }
 
 func (r *Relay) taken(m *message) policy.Event {
-	return policy.Event{
-		Kind: policy.Taken, ID: m.ID, Key: m.Order, Class: m.Class, Customer: m.Customer, Destination: m.Dest,
+	e := policy.Event{
+		Kind: policy.Taken, ID: m.ID, Key: m.Order, Class: -1, Customer: m.Customer, Destination: m.Dest,
 		Left: time.Until(m.Deadline),
 	}
+	if m.class != nil {
+		e.Terms = &m.class.terms
+	}
+	return e
 }
 
 // loop is the one goroutine that decides. A step takes what has come in since the last one, no more often than
@@ -423,6 +433,8 @@
 			}
 		case look:
 			r.looking = false
+		case reconfigured:
+			evs = append(evs, r.reconfigure(e.cfg)...)
 		case policy.EventKind:
 			evs = append(evs, policy.Event{Kind: e})
 		}
@@ -478,16 +490,17 @@
 	var fresh []*handIn
 	var ms []*wal.Message
 	for _, in := range ins {
+		c := r.current(in.class)
 		switch {
 		case r.traces[in.m.Trace] != nil:
 			in.reply <- r.handedInAgain(r.traces[in.m.Trace])
-		case r.cfg.Settings.MaxHeld > 0 && r.held >= r.cfg.Settings.MaxHeld:
-			in.tally.count(handedBack)
+		case c == nil || r.cfg.Settings.MaxHeld > 0 && r.held >= r.cfg.Settings.MaxHeld:
+			in.class.tally.count(handedBack)
 			in.reply <- answer{http.StatusServiceUnavailable, policy.RetryAdvice}
 		default:
 			r.lastID++
-			in.m.ID = r.lastID
-			m := &message{Message: in.m, tally: in.tally}
+			in.m.ID, in.m.Terms = r.lastID, c.wal
+			m := r.newMessage(in.m, c)
 			r.msgs[m.ID], r.traces[m.Trace] = m, m
 			r.held++
 			fresh, ms = append(fresh, in), append(ms, in.m)
@@ -506,7 +519,7 @@
 			r.held--
 			delete(r.msgs, in.m.ID)
 			delete(r.traces, in.m.Trace)
-			in.tally.count(handedBack)
+			in.class.tally.count(handedBack)
 			in.reply <- answer{http.StatusServiceUnavailable, policy.RetryAdvice}
 		}
 		return nil
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -25,7 +25,8 @@
 	Trace    string // the client's
 	Key      string // idempotency key; "" if none
 	Order    string // what it is about, in a class that keeps order; "" if none
-	Class    int
+	Terms    uint32 // the number of the terms that it was taken on under; 0 in logs from before there were any
+	Class    int    `json:",omitempty"` // in those: the place of its class in the configuration
 	Customer int
 	Dest     int
 	Deadline time.Time
@@ -36,6 +37,14 @@
 	Final    *Final    // the notice that ends it, once decided
 }
 
+// Terms are what a class says of its messages. The log keeps them, and does not read Rules.
+type Terms struct {
+	Name  string
+	Rules json.RawMessage
+}
+
+func (t Terms) equal(o Terms) bool { return t.Name == o.Name && string(t.Rules) == string(o.Rules) }
+
 // Attempt is one send.
 type Attempt struct {
 	N    int
@@ -70,6 +79,7 @@
 	recOutcome
 	recFinal
 	recEnd
+	recTerms
 )
 
 const (
@@ -95,6 +105,7 @@
 	Attempt *Attempt `json:",omitempty"`
 	N       int      `json:",omitempty"`
 	Final   *Final   `json:",omitempty"`
+	Terms   *Terms   `json:",omitempty"`
 }
 
 // Log is an open log. It is not safe for concurrent use.
@@ -104,13 +115,16 @@
 	file  *os.File
 	size  int64 // of the file, all of it good
 	live  map[uint32]*Message
-	bytes int64  // that the live messages would take in a new file, about
-	notes []byte // outcomes and ends not yet written
+	terms map[uint32]Terms // by number: those in force and those that a message may have
+	inUse []uint32         // those in force
+	last  uint32           // the highest number given to terms
+	bytes int64            // that the live messages would take in a new file, about
+	notes []byte           // outcomes and ends not yet written
 }
 
 // Open reads the log in dir, or begins one, that may take limit bytes of disk.
 func Open(dir string, limit int64) (*Log, Recovery, error) {
-	l := &Log{dir: dir, limit: limit, live: map[uint32]*Message{}}
+	l := &Log{dir: dir, limit: limit, live: map[uint32]*Message{}, terms: map[uint32]Terms{}}
 	// A crash in mid-compaction leaves the old file whole and a part of the new one.
 	if err := os.Remove(filepath.Join(dir, tempName)); err != nil && !errors.Is(err, os.ErrNotExist) {
 		return nil, Recovery{}, fmt.Errorf("wal: %w", err)
@@ -140,6 +154,35 @@
 // Owes tells whether m has no end yet.
 func (l *Log) Owes(m *Message) bool { return l.live[m.ID] != nil }
 
+// Use puts terms in force, in the place of those before, and returns their numbers. Terms that are known keep
+// theirs. They are written before the first message that has them.
+func (l *Log) Use(ts []Terms) []uint32 {
+	numbers := make([]uint32, 0, len(ts))
+	for _, t := range ts {
+		n := uint32(0)
+		for k, known := range l.terms {
+			if known.equal(t) && (n == 0 || k < n) {
+				n = k
+			}
+		}
+		if n == 0 {
+			l.last++
+			n = l.last
+			l.terms[n] = t
+			l.notes = appendRecord(l.notes, record{Kind: recTerms, ID: n, Terms: &t}, nil)
+		}
+		numbers = append(numbers, n)
+	}
+	l.inUse = numbers
+	return numbers
+}
+
+// Terms are those that a message was taken on under; false if the log does not have them.
+func (l *Log) Terms(m *Message) (Terms, bool) {
+	t, ok := l.terms[m.Terms]
+	return t, ok
+}
+
 // Accept records that ms are taken on, all or none. With ErrFull nothing of them is in the log.
 func (l *Log) Accept(ms ...*Message) error {
 	var buf []byte
@@ -243,7 +286,19 @@
 // compact puts a file of the live messages alone in the place of the log.
 func (l *Log) compact() error {
 	var buf []byte
+	terms := map[uint32]Terms{}
+	keep := func(n uint32) {
+		t, ok := l.terms[n]
+		if _, kept := terms[n]; ok && !kept {
+			terms[n] = t
+			buf = appendRecord(buf, record{Kind: recTerms, ID: n, Terms: &t}, nil)
+		}
+	}
+	for _, n := range l.inUse {
+		keep(n)
+	}
 	for _, m := range l.messages() {
+		keep(m.Terms)
 		buf = appendRecord(buf, record{Kind: recAccept, ID: m.ID, Message: m}, m.Body)
 	}
 	if l.size+int64(len(buf))+4*block > l.limit {
@@ -261,6 +316,7 @@
 		return errors.Join(fmt.Errorf("wal: compact: %w", err), f.Close(), os.Remove(temp))
 	}
 	l.file.Close()
+	l.terms = terms
 	l.file, l.size, l.notes, l.bytes = f, int64(len(buf)), l.notes[:0], 0
 	for _, m := range l.live {
 		l.bytes += cost(m)
@@ -320,6 +376,12 @@
 func (l *Log) apply(rec record, body []byte) {
 	m := l.live[rec.ID]
 	switch {
+	case rec.Kind == recTerms: // numbers of its own
+		if rec.Terms != nil {
+			l.terms[rec.ID] = *rec.Terms
+			l.last = max(l.last, rec.ID)
+		}
+		return
 	case rec.Kind == recAccept && rec.Message != nil:
 		m = rec.Message
 		m.ID, m.Body = rec.ID, slices.Clone(body)
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -59,6 +59,7 @@
 	}
 	for i := range p.count("realms") {
 		set.Customers = append(set.Customers, policy.Customer{
+			Name:  p.values[fmt.Sprintf("realms.%d.name", i)],
 			Quota: p.number(fmt.Sprintf("realms.%d.quota_per_s", i)),
 		})
 	}
--- a/policy/api.go
+++ b/policy/api.go
@@ -36,6 +36,7 @@
 	Aim      time.Duration // delivered within this, a message earns its full worth
 	GiveUp   time.Duration // how long a message may be delivered
 	Value    float64       // worth of a message; default 1
+	Attempts int           // for a message; 0: as the settings have it
 }
 
 // Kind is one kind of destination.
@@ -46,6 +47,7 @@
 
 // Customer is one customer of the service.
 type Customer struct {
+	Name  string
 	Quota float64 // messages a second within its share, over all senders; 0: no share is set
 }
 
@@ -97,6 +99,7 @@
 	Standby                      // clients are to be sent elsewhere
 	Active                       // and may come again
 	Ending                       // the process was told to end
+	Configured                   // the settings are others from here on
 )
 
 // Report is what a destination tells of its limit. It is late and noisy.
@@ -129,6 +132,7 @@
 	Customer    int
 	Destination int
 	Left        time.Duration // time left to the deadline
+	Terms       *Class        // it was taken on under; nil: those that the settings have for Class
 	Resumed     *Resumed      // taken on by an earlier process; nil if new
 
 	// Finished, Probed
@@ -142,6 +146,9 @@
 
 	// ListWhole, ListChanges
 	List []Listing
+
+	// Configured
+	Settings *Settings // checked
 }
 
 // ActionKind names what an Action asks for.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -102,14 +102,10 @@
 
 // New returns a Sender that knows nothing but its settings.
 func New(set Settings, seed uint64) (*Sender, error) {
-	if err := set.check(); err != nil {
+	if err := set.Check(); err != nil {
 		return nil, err
 	}
-	set.Senders = max(1, set.Senders)
-	set.ColdShare = cmp.Or(max(0, set.ColdShare), 0.1)
-	set.WarmWithin = cmp.Or(max(0, set.WarmWithin), 30*time.Second)
-	set.OverloadWindow = cmp.Or(set.OverloadWindow, 3*time.Second)
-	set.OverloadFactor = cmp.Or(max(0, set.OverloadFactor), 1)
+	set.complete()
 	return &Sender{
 		set: set, rng: rand.New(rand.NewPCG(seed, 0x6f6e7978)),
 		routes: map[string]*route{}, least: map[int]float64{}, dests: map[int]*dest{},
@@ -167,6 +163,8 @@
 		if s.set.AskList {
 			s.act(Action{Kind: Watch})
 		}
+	case Configured:
+		s.configure(*e.Settings)
 	case Standby:
 		s.turnTo(standby)
 	case Active:
@@ -526,8 +524,10 @@
 		s.act(Action{Kind: Refuse, ID: e.ID, Delay: min(retryAdvice, s.set.MaxRetryAfter)})
 		return
 	}
-	c := &Class{Effect: Unsafe, Ordered: true, Aim: e.Left / 2, GiveUp: e.Left, Value: 1} // the strictest
-	if e.Class >= 0 && e.Class < len(s.set.Classes) {
+	c := &Class{Effect: Unsafe, Ordered: true, Aim: e.Left / 2, GiveUp: e.Left, Value: 1, Attempts: s.set.MaxAttempts}
+	if e.Terms != nil {
+		c = e.Terms
+	} else if e.Class >= 0 && e.Class < len(s.set.Classes) { // else the strictest
 		c = &s.set.Classes[e.Class]
 	}
 	m := &message{id: e.ID, class: c, dest: s.destination(e.Destination)}
@@ -661,7 +661,7 @@
 func (s *Sender) mayAttempt(m *message, r *route) time.Duration {
 	const never = time.Duration(math.MaxInt64)
 	// Rule 1: nothing after the end, nothing past the time or the attempts.
-	if m.ended || s.now >= m.deadline || s.set.MaxAttempts > 0 && m.sends >= s.set.MaxAttempts {
+	if m.ended || s.now >= m.deadline || m.class.Attempts > 0 && m.sends >= m.class.Attempts {
 		return never
 	}
 	// Rule 2: one attempt at a time; repeats only where they are dropped.
--- a/policy/spent.go
+++ b/policy/spent.go
@@ -24,7 +24,7 @@
 	switch {
 	case m.ended || len(m.out) > 0:
 		return false
-	case s.set.MaxAttempts > 0 && m.sends >= s.set.MaxAttempts:
+	case m.class.Attempts > 0 && m.sends >= m.class.Attempts:
 		return true
 	}
 	return m.ran && (m.class.Effect == Unsafe || m.class.Effect == Keyed && s.now >= m.windowEnd())
--- a/policy/state.go
+++ b/policy/state.go
@@ -473,8 +473,8 @@
 	c.r.calls = slices.DeleteFunc(c.r.calls, func(x *call) bool { return x == c })
 }
 
-// check tells what makes no sense in settings.
-func (set *Settings) check() error {
+// Check tells what makes no sense in settings.
+func (set *Settings) Check() error {
 	if len(set.Classes) == 0 {
 		return errors.New("policy: settings name no class")
 	}
