--- a/policy/api.go
+++ b/policy/api.go
@@ -99,6 +99,7 @@
 	Standby                      // clients are to be sent elsewhere
 	Active                       // and may come again
 	Ending                       // the process was told to end
+	HandedOver                   // another process decides from here on
 	Configured                   // the settings are others from here on
 )
 
--- a/policy/duty.go
+++ b/policy/duty.go
@@ -44,6 +44,13 @@
 	{3300 * time.Millisecond, Door{Over: true}},
 }
 
+// handed is what a process does whose relay is another one's: it serves the connections that clients keep until
+// they are done with, and stays in case the other dies. leaving is its end.
+var (
+	handed  = []stage{{0, Door{IdleFor: spareFor}}}
+	leaving = []stage{{0, Door{}}, {3300 * time.Millisecond, Door{Over: true}}}
+)
+
 const (
 	spareFor  = 1500 * time.Millisecond // a kept connection that stood idle for so long may be closed in a drain
 	drainIdle = 2500 * time.Millisecond // and any that is idle so long after its start
@@ -56,14 +63,24 @@
 	told  Door
 }
 
-// turnTo begins a table; a nil one serves. A second call for what is under way changes nothing.
+// is tells whether a table is under way.
+func (d *duty) is(table []stage) bool {
+	return len(d.table) == len(table) && (len(table) == 0 || &d.table[0] == &table[0])
+}
+
+// turnTo begins a table; a nil one serves. A second call for what is under way changes nothing, an end is final, and
+// neither brings back a relay that was handed over.
 func (s *Sender) turnTo(table []stage) {
 	d := &s.duty
-	same := len(d.table) == len(table) && (len(table) == 0 || &d.table[0] == &table[0])
-	if ended := len(d.table) > 0 && &d.table[0] == &ending[0]; ended || same {
-		return
+	switch to := (&duty{table: table}); {
+	case d.is(table) || d.is(leaving):
+	case to.is(handed) && d.is(ending):
+		d.table = leaving // by the time of the signal
+	case d.is(handed) && to.is(ending):
+		d.table, d.since = leaving, s.now
+	case !d.is(handed) && !d.is(ending):
+		d.table, d.since = table, s.now
 	}
-	d.table, d.since = table, s.now
 }
 
 // attend tells the door where a time of its table has come, or an event changed it.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -171,6 +171,8 @@
 		s.turnTo(nil)
 	case Ending:
 		s.turnTo(ending)
+	case HandedOver:
+		s.turnTo(handed)
 	}
 }
 
@@ -524,11 +526,12 @@
 		s.act(Action{Kind: Refuse, ID: e.ID, Delay: min(retryAdvice, s.set.MaxRetryAfter)})
 		return
 	}
-	c := &Class{Effect: Unsafe, Ordered: true, Aim: e.Left / 2, GiveUp: e.Left, Value: 1, Attempts: s.set.MaxAttempts}
-	if e.Terms != nil {
-		c = e.Terms
-	} else if e.Class >= 0 && e.Class < len(s.set.Classes) { // else the strictest
+	c := e.Terms
+	if c == nil && e.Class >= 0 && e.Class < len(s.set.Classes) {
 		c = &s.set.Classes[e.Class]
+	} else if c == nil { // the strictest
+		c = &Class{Effect: Unsafe, Ordered: true, Aim: e.Left / 2, GiveUp: e.Left, Value: 1}
+		c.Attempts = s.set.MaxAttempts
 	}
 	m := &message{id: e.ID, class: c, dest: s.destination(e.Destination)}
 	m.deadline = s.now + e.Left - endMargin
