--- a/cmd/cherrytrestle/main.go
+++ b/cmd/cherrytrestle/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"os"
@@ -39,21 +40,30 @@
 	}
 	debug.SetMemoryLimit(int64(cfg.Limits.MemoryMB * heapShare * (1 << 20)))
 	runtime.GOMAXPROCS(max(1, int(cfg.Limits.Cores)))
-	r, err := relay.New(cfg, slog.Default())
-	if err != nil {
-		return fmt.Errorf("start: %w", err)
-	}
-	ended := make(chan struct{})
-	defer close(ended)
-	go func() {
-		for {
-			select {
-			case <-reload:
-				r.Reload(os.Getenv)
-			case <-ended:
-				return
+	for {
+		r, err := relay.Start(ctx, cfg, slog.Default())
+		if ctx.Err() != nil && r == nil {
+			return nil // told to end before there was anything to end
+		}
+		if err != nil {
+			return fmt.Errorf("start: %w", err)
+		}
+		ended := make(chan struct{})
+		go func() {
+			for {
+				select {
+				case <-reload:
+					r.Reload(os.Getenv)
+				case <-ended:
+					return
+				}
 			}
+		}()
+		err = r.Run(ctx)
+		close(ended)
+		if !errors.Is(err, relay.ErrBack) || ctx.Err() != nil {
+			return err
 		}
-	}()
-	return r.Run(ctx)
+		slog.Warn("starting over", "err", err)
+	}
 }
--- a/cmd/cherrytrestle/main_test.go
+++ b/cmd/cherrytrestle/main_test.go
@@ -244,6 +244,19 @@
 }
 
 func (r *relayProcess) start(p *platform) {
+	r.t.Helper()
+	r.spawn(p)
+	eventually(r.t, "ready", func() bool {
+		res, err := r.client.Get("http://" + r.addr + "/_health")
+		if err == nil {
+			res.Body.Close()
+		}
+		return err == nil && res.StatusCode == http.StatusOK
+	})
+}
+
+// spawn starts the process without waiting for it.
+func (r *relayProcess) spawn(p *platform) {
 	r.t.Helper()
 	log, err := os.OpenFile(filepath.Join(r.dir, "log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	must(r.t, err)
@@ -254,13 +267,6 @@
 		"ROUTER_DISCOVERY="+p.Listener.Addr().String(), "ROUTER_STATE="+filepath.Join(r.dir, "state"),
 		"ROUTER_CONFIG="+filepath.Join(r.dir, "config.json"))
 	must(r.t, r.cmd.Start())
-	eventually(r.t, "ready", func() bool {
-		res, err := r.client.Get("http://" + r.addr + "/_health")
-		if err == nil {
-			res.Body.Close()
-		}
-		return err == nil && res.StatusCode == http.StatusOK
-	})
 }
 
 func (r *relayProcess) kill() {
--- a/cmd/cherrytrestle/running_test.go
+++ b/cmd/cherrytrestle/running_test.go
@@ -9,7 +9,9 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -144,3 +146,107 @@
 		return figure(t, r.mgmt, "relay.ok.order") == "2" && figure(t, r.mgmt, "relay.ok.parcel") == "1"
 	})
 }
+
+// beside starts a second process of the same relay, with a management address of its own, and returns once it serves.
+func (r *relayProcess) beside(p *platform) *relayProcess {
+	r.t.Helper()
+	next := &relayProcess{t: r.t, dir: r.dir, addr: r.addr, mgmt: freeAddr(r.t), client: &http.Client{Timeout: 2 * time.Second}}
+	r.t.Cleanup(func() {
+		if next.cmd != nil {
+			next.kill()
+		}
+	})
+	next.spawn(p)
+	eventually(r.t, "the second process serves", func() bool { return manage(r.t, next.mgmt, "status") == "YES\n" })
+	return next
+}
+
+// replaced is a relay with a message of each kind of standing: m1's call is out, m2 waits.
+func replaced(t *testing.T) (r *relayProcess, p *platform, h *host, answer chan struct{}) {
+	p = newPlatform(t)
+	answer = make(chan struct{})
+	h = newHost(t, func(w http.ResponseWriter, _ *http.Request, ids []string) {
+		if ids[0] == "m1" {
+			<-answer
+		}
+		deliver(w, ids)
+	})
+	t.Cleanup(sync.OnceFunc(func() {
+		select {
+		case <-answer:
+		default:
+			close(answer)
+		}
+	}))
+	r = newRelay(t, p, []member{listed("s-1", h.addr(), "a", "gateway", "ready")}, func(settings map[string]any) {
+		settings["extra"].(map[string]any)["call_slots"] = 1
+		settings["services"].([]map[string]any)[0]["semantics"] = "non_idempotent"
+	})
+	r.take("m1", 12*time.Second)
+	eventually(t, "m1 out", func() bool { return h.count("m1") == 1 })
+	r.take("m2", 12*time.Second)
+	return r, p, h, answer
+}
+
+// A second process takes over what is open: a call that is out in the first holds its slot and is not repeated, its
+// end counts, and a connection that a client keeps serves on.
+func TestASecondProcessTakesOver(t *testing.T) {
+	r, p, h, answer := replaced(t)
+	next := r.beside(p)
+	if got := manage(t, r.mgmt, "status"); got != "NO\n" {
+		t.Errorf("the old process says %q", got)
+	}
+	r.take("m3", 12*time.Second) // on the connection kept to the old one
+	next.take("m4", 12*time.Second)
+	if got := figure(t, next.mgmt, "relay.active"); got != "4" {
+		t.Errorf("%s messages open", got)
+	}
+	if n := h.count("m2") + h.count("m3") + h.count("m4"); n != 0 {
+		t.Errorf("%d calls beside the one that holds the slot", n)
+	}
+	must(t, r.cmd.Process.Signal(syscall.SIGTERM))
+	close(answer)
+	eventually(t, "all delivered, and counted by the new process", func() bool {
+		return figure(t, next.mgmt, "relay.ok.order") == "4" && figure(t, next.mgmt, "relay.active") == "0"
+	})
+	must(t, r.cmd.Wait())
+	r.cmd = nil
+	for _, id := range []string{"m1", "m2", "m3", "m4"} {
+		if n := h.count(id); n != 1 {
+			t.Errorf("%s sent %d times", id, n)
+		}
+	}
+	next.take("m5", 5*time.Second)
+	third := next.beside(p) // and so on
+	third.take("m6", 5*time.Second)
+	eventually(t, "delivered by the third", func() bool { return h.count("m6") == 1 })
+}
+
+// If the old process dies first, its call may have run: the message fails rather than go twice, and the rest goes on.
+func TestTheOldProcessDiesAfterIt(t *testing.T) {
+	r, p, h, _ := replaced(t)
+	next := r.beside(p)
+	r.kill()
+	eventually(t, "the rest delivered", func() bool { return figure(t, next.mgmt, "relay.ok.order") == "1" })
+	eventually(t, "m1 ended", func() bool { return p.final("m1") != nil })
+	if h.count("m1") != 1 || p.final("m1")["status"] != "undeliverable" {
+		t.Errorf("m1 sent %d times, ended %v", h.count("m1"), p.final("m1"))
+	}
+}
+
+// If the new process dies, the old one has the relay again, from the journal.
+func TestTheNewProcessDies(t *testing.T) {
+	r, p, h, _ := replaced(t)
+	next := r.beside(p)
+	next.take("m3", 12*time.Second)
+	next.kill()
+	eventually(t, "the old process serves again", func() bool { return manage(t, r.mgmt, "status") == "YES\n" })
+	eventually(t, "the rest delivered", func() bool { return h.count("m2") == 1 && h.count("m3") == 1 })
+	eventually(t, "m1 ended", func() bool { return p.final("m1") != nil })
+	if n := h.count("m1"); n != 1 {
+		t.Errorf("m1 sent %d times", n)
+	}
+	again := r.beside(p)
+	again.take("m4", 5*time.Second)
+	eventually(t, "delivered by yet another", func() bool { return h.count("m4") == 1 })
+}
--- a/internal/relay/clients.go
+++ b/internal/relay/clients.go
@@ -123,7 +123,15 @@
 		r.reply(w, answer{http.StatusServiceUnavailable, policy.RetryAdvice})
 		return
 	}
-	a := <-in.reply
+	a := answer{http.StatusServiceUnavailable, policy.RetryAdvice} // it came too late for this process
+	select {
+	case a = <-in.reply:
+	case <-r.over:
+		select {
+		case a = <-in.reply:
+		default:
+		}
+	}
 	// A client that has left without the answer hands the message in anew: this one must not be sent as well.
 	if req.Context().Err() != nil {
 		if m.ID != 0 { // the loop has numbered it: it is this connection's own
--- a/internal/relay/door.go
+++ b/internal/relay/door.go
@@ -33,11 +33,11 @@
 type door struct {
 	net.Listener
 	log    *slog.Logger
-	most   int
 	closed chan struct{}
 	once   sync.Once
 
 	mu       sync.Mutex
+	most     int
 	visits   map[net.Conn]visit
 	does     policy.Door   // what the module has it do
 	sweeping bool          // a sweep is to come
@@ -234,6 +234,13 @@
 	d.Close()
 }
 
+// allow sets how many connections there may be from here on.
+func (d *door) allow(most int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.most = most
+}
+
 // count is how many connections there are.
 func (d *door) count() int {
 	d.mu.Lock()
--- a/internal/relay/hosts.go
+++ b/internal/relay/hosts.go
@@ -41,9 +41,9 @@
 	connectTimeout time.Duration
 	idleFor        time.Duration
 	reports        []string
-	most           int // connections
 
 	mu     sync.Mutex
+	most   int                            // connections
 	idle   map[string][]*idleConn         // by address, the last used last
 	open   int                            // connections, idle or not
 	lines  map[*http.ClientConn]*lineConn // of the open ones
@@ -58,6 +58,7 @@
 
 // call is one request to a host, with one message or several.
 type call struct {
+	id       int // this process's number for it
 	route    string
 	addr     string
 	zone     int
@@ -480,6 +481,20 @@
 	conn.Close()
 }
 
+// allow sets how many connections there may be from here on.
+func (h *hosts) allow(most int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.most = most
+}
+
+// count is how many connections there are.
+func (h *hosts) count() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.open
+}
+
 // closeIdle closes the idle connections to an address.
 func (h *hosts) closeIdle(addr string) {
 	h.mu.Lock()
--- a/internal/relay/mgmt.go
+++ b/internal/relay/mgmt.go
@@ -38,7 +38,7 @@
 }
 
 // mgmtMost is how many connections the management address holds, as part of all descriptors.
-func mgmtMost(sockets int) int { return min(32, max(4, sockets/16)) }
+func mgmtMost(sockets int) int { return min(24, max(4, sockets/24)) }
 
 // run answers until ctx ends.
 func (g *mgmt) run(ctx context.Context) {
@@ -137,7 +137,7 @@
 	yes := false
 	switch line {
 	case "status":
-		yes = r.served.Load() && r.ready()
+		yes = r.served.Load() && r.ready() && !r.handed.Load()
 	case "stats":
 		var b bytes.Buffer
 		r.figures.write(&b)
@@ -155,9 +155,9 @@
 }
 
 // wish leaves word for the loop that clients are to be sent elsewhere, or may come again; of several the last counts.
-// False if the process ends already: that is not undone.
+// False if the process ends already, or handed its relay over: neither is undone.
 func (r *Relay) wish(k policy.EventKind) bool {
-	if r.ending.Load() {
+	if r.ending.Load() || r.handed.Load() {
 		return k == policy.Standby
 	}
 	for {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -81,6 +81,9 @@
 	idle   chan struct{}         // closed when the relay is stopping and nothing is left to wait for
 	listed atomic.Bool           // it has recovered and holds a list
 	served atomic.Bool           // clients are let in
+	handed atomic.Bool           // another process has the relay,
+	alone  atomic.Bool           // or had it, and is gone
+	back   atomic.Bool           // the process is to start over
 	ending atomic.Bool           // SIGTERM came
 	does   atomic.Pointer[policy.Door]
 	calls  sync.WaitGroup
@@ -95,6 +98,7 @@
 	started time.Time
 	sender  *policy.Sender
 	wal     *wal.Log
+	lock    *wal.Lock    // nil while another process has the relay
 	found   wal.Recovery // until it is taken up
 	msgs    map[uint32]*message
 	traces  map[string]*message
@@ -108,6 +112,13 @@
 
 	noSends, idled bool
 	looking        bool // a look is to come
+
+	live        map[*call]struct{} // calls of this process that are out
+	lastCall    int
+	listVersion int64              // of the list that the module was told last
+	inherited   *inherits          // nil: this process replaces none that is still there
+	hands       *handing           // nil: the relay is this process's
+	letGo       context.CancelFunc // ends what only the process that decides does
 }
 
 // target is what the relay keeps of a listed host.
@@ -116,8 +127,22 @@
 	addr string
 }
 
-// New returns a relay that has read what an earlier process left in the log.
+// New returns a relay that has read what an earlier process left in the log. With wal.ErrLocked that process is
+// there still.
 func New(cfg Config, log *slog.Logger) (*Relay, error) {
+	lock, err := wal.Acquire(cfg.StateDir)
+	if err != nil {
+		return nil, fmt.Errorf("relay: %w", err)
+	}
+	r, err := open(cfg, log, lock)
+	if err != nil {
+		return nil, errors.Join(err, lock.Release())
+	}
+	return r, nil
+}
+
+// open returns a relay that has read the log, whose lock is held.
+func open(cfg Config, log *slog.Logger, lock *wal.Lock) (*Relay, error) {
 	sender, err := policy.New(cfg.Settings, cfg.Seed)
 	if err != nil {
 		return nil, fmt.Errorf("relay: %w", err)
@@ -130,7 +155,7 @@
 		cfg: cfg, log: log, hosts: newHosts(cfg), agent: newAgentClient(),
 		events: make(chan any, eventRoom), moves: make(chan string, 1), wishes: make(chan policy.EventKind, 1),
 		over: make(chan struct{}), idle: make(chan struct{}),
-		started: time.Now().Add(-clockStart), sender: sender, wal: w,
+		started: time.Now().Add(-clockStart), sender: sender, wal: w, lock: lock, live: map[*call]struct{}{},
 		msgs: map[uint32]*message{}, traces: map[string]*message{}, routes: map[string]target{},
 	}
 	r.finals = newFinals(log, r.agent, cfg.Discovery, func(ids []uint32) { r.post(confirmed{ids}) })
@@ -143,36 +168,43 @@
 	return r, nil
 }
 
-// Run serves until ctx ends, and then ends in order, as the module has it.
-func (r *Relay) Run(ctx context.Context) error {
-	listener, err := net.Listen("tcp", r.cfg.Listen)
-	if err != nil {
-		return errors.Join(fmt.Errorf("relay: %w", err), r.wal.Close())
-	}
+// Run serves until ctx ends, and then ends in order, as the module has it. With ErrBack the process is to start over.
+func (r *Relay) Run(ctx context.Context) (err error) {
+	defer func() { err = errors.Join(err, r.leaveLog()) }()
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
-	if err := r.startMgmt(work); err != nil {
-		return errors.Join(err, listener.Close(), r.wal.Close())
+	var parts sync.WaitGroup // all that work's end ends
+	listener, err := r.listen()
+	if err != nil {
+		return fmt.Errorf("relay: %w", err)
+	}
+	if err := r.startMgmt(work, &parts); err != nil {
+		return errors.Join(err, listener.Close())
+	}
+	successors, err := listenLink(r.cfg.StateDir)
+	if err != nil { // it can serve, if not be replaced without a gap
+		r.log.Warn("no successor can take over", "err", err)
 	}
 	callCtx, stopCalls := context.WithCancel(context.Background())
 	defer stopCalls()
 	r.callCtx = callCtx
+	deciding, letGo := context.WithCancel(work)
+	r.letGo = letGo
 	server := r.newServer()
 	r.entry = newDoor(listener, r.log, r.cfg.Limits.Sockets/2)
 	server.ConnState = r.entry.note
 	r.resume() // before clients are told that the relay is ready
 	go r.loop(work)
-	go r.finals.run(work)
+	parts.Go(func() { r.finals.run(deciding) })
 	list := follower{
 		watcher: watcher{r.log, r.agent, r.cfg.Discovery, watchSilence, func(l List) { r.post(l) }},
 		version: r.cfg.Known.Version,
 	}
-	list.move(work, r.cfg.Discovery)
-	followed := make(chan struct{})
-	go func() {
-		defer close(followed)
-		r.followMoves(work, &list)
-	}()
+	list.move(deciding, r.cfg.Discovery)
+	parts.Go(func() { r.followMoves(deciding, &list) })
+	if successors != nil {
+		parts.Go(func() { r.await(deciding, successors) })
+	}
 
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(r.entry) }()
@@ -185,13 +217,32 @@
 	r.calls.Wait() // their outcomes reach the log
 	stop()
 	<-r.over
-	<-followed
+	parts.Wait()
 	r.hosts.close()
-	return errors.Join(err, r.wal.Close())
+	if r.back.Load() {
+		err = errors.Join(err, ErrBack)
+	}
+	return err
+}
+
+// listen opens the clients' address, or goes on with the elder's listener.
+func (r *Relay) listen() (net.Listener, error) {
+	if r.inherited != nil {
+		return r.inherited.listener, nil
+	}
+	return net.Listen("tcp", r.cfg.Listen)
+}
+
+// leaveLog closes the log, and lets another process have it.
+func (r *Relay) leaveLog() error {
+	if r.lock == nil {
+		return nil // it is another's, and was left
+	}
+	return errors.Join(r.wal.Close(), r.lock.Release())
 }
 
 // startMgmt serves the management address, where the configuration has one, until ctx ends.
-func (r *Relay) startMgmt(ctx context.Context) error {
+func (r *Relay) startMgmt(ctx context.Context, parts *sync.WaitGroup) error {
 	if r.cfg.Mgmt == "" {
 		return nil
 	}
@@ -200,7 +251,7 @@
 		return fmt.Errorf("relay: management address: %w", err)
 	}
 	g := &mgmt{listener: l, log: r.log, most: mgmtMost(r.cfg.Limits.Sockets), answer: r.manage}
-	go g.run(ctx)
+	parts.Go(func() { g.run(ctx) })
 	return nil
 }
 
@@ -224,8 +275,12 @@
 	}
 }
 
-// ready tells whether clients are to be sent here.
+// ready tells whether clients are to be sent here. Where another process has the relay, that one is, and it has the
+// same address.
 func (r *Relay) ready() bool {
+	if r.handed.Load() {
+		return !r.alone.Load()
+	}
 	return r.listed.Load() && !r.ending.Load() && r.does.Load().Ready
 }
 
@@ -280,6 +335,10 @@
 
 // resume hands the module the known list and what an earlier process left, in one step.
 func (r *Relay) resume() {
+	if r.inherited != nil {
+		r.resumeInherited()
+		return
+	}
 	found := r.found
 	r.found = wal.Recovery{}
 	var evs []policy.Event
@@ -379,7 +438,7 @@
 			}
 		}
 		last = time.Now()
-		r.step(batch)
+		r.stepOrPass(batch)
 		clear(batch)
 		if !r.wakeAt.IsZero() {
 			timer.Reset(time.Until(r.wakeAt))
@@ -393,13 +452,22 @@
 	for {
 		select {
 		case e := <-r.events:
-			r.step([]any{e})
+			r.stepOrPass([]any{e})
 		default:
 			return
 		}
 	}
 }
 
+// stepOrPass is a step of the process that decides, or of one that is another's hands.
+func (r *Relay) stepOrPass(batch []any) {
+	if r.hands != nil {
+		r.pass(batch)
+		return
+	}
+	r.step(batch)
+}
+
 // step takes a batch of events to the module and carries out what it decides.
 func (r *Relay) step(batch []any) {
 	now := r.now()
@@ -410,6 +478,7 @@
 	r.later = r.later[:0]
 	var asked []clearance
 	var ins []*handIn
+	var successor *handOver
 	for _, e := range batch {
 		switch e := e.(type) {
 		case *handIn:
@@ -431,6 +500,16 @@
 					r.retire(m)
 				}
 			}
+		case linkFrame:
+			evs, ins = r.fromElder(evs, ins, e.frame)
+		case linkDown:
+			evs = r.elderGone(evs)
+		case *handOver:
+			if successor != nil {
+				successor.conn.Close()
+				close(successor.done)
+			}
+			successor = e
 		case look:
 			r.looking = false
 		case reconfigured:
@@ -455,6 +534,9 @@
 	r.figures.poolSize.Store(int64(len(r.routes)))
 	r.figures.poolEjected.Store(int64(r.sender.Avoided()))
 	r.endIfIdle()
+	if successor != nil {
+		r.handRelayOver(successor)
+	}
 }
 
 // endIfIdle tells Run where the module has ended the relay, or has closed its door and nothing is left to wait for.
@@ -464,6 +546,9 @@
 		return
 	}
 	done := len(r.msgs) == 0 || !does.Send && r.out == 0
+	if r.hands != nil { // it stays for the other's sake until it is told to end
+		done = r.ending.Load() && r.out == 0 && len(r.hands.pending) == 0
+	}
 	if does.Over || done && r.entry.count() == 0 {
 		r.idled = true
 		close(r.idle)
@@ -565,6 +650,7 @@
 // callEnded takes the end of a call.
 func (r *Relay) callEnded(evs []policy.Event, e *callEnd) []policy.Event {
 	r.out--
+	delete(r.live, e.c)
 	for i, a := range e.c.attempts {
 		evs = r.attemptEnded(evs, a, e.results[i])
 	}
@@ -661,6 +747,7 @@
 	if len(r.routes) > 0 {
 		r.listed.Store(true)
 	}
+	r.listVersion = l.Version
 	return e
 }
 
@@ -783,6 +870,9 @@
 // launch makes a call, away from the loop.
 func (r *Relay) launch(c *call) {
 	r.out++
+	r.lastCall++
+	c.id = r.lastCall
+	r.live[c] = struct{}{}
 	for _, a := range c.attempts {
 		if a.until.Before(c.until) {
 			a.timer = time.AfterFunc(time.Until(a.until), func() { r.post(cutOff{a}) })
--- a/internal/relay/settings_test.go
+++ b/internal/relay/settings_test.go
@@ -135,6 +135,13 @@
 			r.newServer().Handler.ServeHTTP(w, handInRequest(t.Context(), id))
 		}()
 		in := <-r.events
+		for { // an end of the call before may come first
+			if _, ok := in.(*handIn); ok {
+				break
+			}
+			r.step([]any{in})
+			in = <-r.events
+		}
 		r.step([]any{reconfigured{cfg}, in})
 		<-done
 		return w.Code, r.traces[id]
