Make room at the door at once, by what each connection has shown

Looked at each second: the accept queue grows to over 1,000 while 96 connections end 39 times a second, which is 96 by the 2.75 s that a request may take: they make progress.

--- a/internal/relay/clients.go
+++ b/internal/relay/clients.go
@@ -22,8 +22,9 @@
 	expiresTop = 24 * time.Hour
 
 	// requestFor is how long a peer may take to send a request, and to take its answer in. A client gives its
-	// relay 400 ms in all; any other peer is owed an end within 3 s of its connection's opening.
-	requestFor = 2500 * time.Millisecond
+	// relay 400 ms from its last byte, which may take over 2 s to come; any other peer is owed an end within 3 s
+	// of its connection's opening.
+	requestFor = 2750 * time.Millisecond
 )
 
 // answer is what a client is told of the message that it handed in.
@@ -117,6 +118,7 @@
 		turnAway(w, bodyStatus(err), "body unreadable, or over 64 KiB")
 		return
 	}
+	wholeRequest(req.Context())
 	in := &handIn{m: m, class: c, reply: make(chan answer, 1)}
 	if !r.post(in) {
 		c.tally.count(handedBack)
--- a/internal/relay/door.go
+++ b/internal/relay/door.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"errors"
 	"log/slog"
 	"net"
@@ -8,6 +9,7 @@
 	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"onyxroad.dev/onyxroad/policy"
@@ -16,6 +18,11 @@
 const (
 	// A connection on which no request came for so long is no client's: a client waits 400 ms for its answer.
 	silentFor = 500 * time.Millisecond
+	// At the cap there is less time. Clients send as soon as they are connected, some in pieces; who has sent one
+	// piece alone is more likely to be none of them than who goes on sending.
+	silentGrace = 50 * time.Millisecond
+	pieceGrace  = 250 * time.Millisecond
+	slowGrace   = time.Second
 	// One that stood idle for so long after an answer may be closed at will.
 	spareAfter = 2 * time.Second
 
@@ -49,17 +56,55 @@
 // guest is a connection that tells when it was last heard of.
 type guest struct {
 	net.Conn
-	heard atomic.Int64 // Unix time in nanoseconds of its last byte; 0: none has come
+	heard  atomic.Int64 // Unix time in nanoseconds of its last byte; 0: none has come
+	pieces atomic.Int64 // that it sent
+	whole  atomic.Bool  // its request has come, all of it
+}
+
+// guestKey is the key of a request's context under which its guest stands.
+type guestKey struct{}
+
+// wholeRequest notes that all of a request has come: its connection is not to make room for another.
+func wholeRequest(ctx context.Context) {
+	if g, ok := ctx.Value(guestKey{}).(*guest); ok {
+		g.whole.Store(true)
+	}
+}
+
+// follow has a server tell the door of its connections, and requests of their guest.
+func (d *door) follow(server *http.Server) {
+	server.ConnState = d.note
+	server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
+		return context.WithValue(ctx, guestKey{}, conn)
+	}
 }
 
 func (g *guest) Read(b []byte) (int, error) {
 	n, err := g.Conn.Read(b)
 	if n > 0 {
 		g.heard.Store(time.Now().UnixNano())
+		g.pieces.Add(1)
 	}
 	return n, err
 }
 
+// unread tells whether something has come that was not read yet.
+func (g *guest) unread() bool {
+	sock, ok := g.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sock.SyscallConn()
+	if err != nil {
+		return false
+	}
+	n := 0
+	raw.Control(func(fd uintptr) { // fails where it is closed already
+		n, _, _ = syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
+	return n > 0
+}
+
 // CloseWrite ends the answer and leaves the peer time to take it in, where the connection can.
 func (g *guest) CloseWrite() error {
 	if half, ok := g.Conn.(interface{ CloseWrite() error }); ok {
@@ -133,26 +178,36 @@
 	return 0, nil
 }
 
-// mostSilent returns the connection to close: one that never asked for anything before one that did. Where all
-// are too young or busy it returns how long until one may be old enough.
+// mostSilent returns the connection to close: the one that has shown least, and of those the one longest silent.
+// Where all are too young or busy it returns how long until one may be old enough.
 func (d *door) mostSilent(now time.Time) (victim net.Conn, wait time.Duration) {
-	var since time.Time
+	for {
+		victim, wait = d.leastLikely(now)
+		g, ok := victim.(*guest)
+		if !ok || !g.unread() {
+			return victim, wait
+		}
+		// More has come and is about to be read: it makes progress.
+		g.heard.Store(now.UnixNano())
+		g.pieces.Add(1)
+	}
+}
+
+func (d *door) leastLikely(now time.Time) (victim net.Conn, wait time.Duration) {
 	wait = spareAfter
-	asked := false
+	var worst int
+	var since time.Time
 	for conn, v := range d.visits {
-		due := silentFor
-		if v.state == http.StateIdle {
-			due = spareAfter
-		} else if v.state != http.StateNew {
+		rank, due, last := standing(conn, v)
+		if rank < 0 {
 			continue
 		}
-		if rest := due - now.Sub(v.since); rest > 0 {
+		if rest := due - now.Sub(last); rest > 0 {
 			wait = min(wait, rest)
 			continue
 		}
-		idle := v.state == http.StateIdle
-		if victim == nil || asked && !idle || asked == idle && v.since.Before(since) {
-			victim, since, asked = conn, v.since, idle
+		if victim == nil || rank < worst || rank == worst && last.Before(since) {
+			victim, worst, since = conn, rank, last
 		}
 	}
 	if victim != nil {
@@ -161,6 +216,23 @@
 	return victim, wait
 }
 
+// standing is how likely a connection is to be a client's, from 0, when it last showed that, and how long it is left
+// alone after. Negative: it is one's, and busy.
+func standing(conn net.Conn, v visit) (rank int, grace time.Duration, last time.Time) {
+	g, ok := conn.(*guest)
+	switch {
+	case v.state == http.StateIdle:
+		return 2, spareAfter, v.since
+	case v.state != http.StateNew && (!ok || g.whole.Load()):
+		return -1, 0, v.since
+	case !ok || g.heard.Load() == 0:
+		return 0, silentGrace, v.since
+	case g.pieces.Load() == 1:
+		return 1, pieceGrace, time.Unix(0, g.heard.Load())
+	}
+	return 3, slowGrace, time.Unix(0, g.heard.Load())
+}
+
 // note is the server's hook: it follows what the connections do.
 func (d *door) note(conn net.Conn, state http.ConnState) {
 	d.mu.Lock()
@@ -172,6 +244,9 @@
 		delete(d.visits, conn)
 	default:
 		d.visits[conn] = visit{state, time.Now()}
+		if g, ok := conn.(*guest); ok && state == http.StateIdle {
+			g.whole.Store(false)
+		}
 	}
 	if state != http.StateActive {
 		close(d.left)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -192,7 +192,7 @@
 	r.letGo = letGo
 	server := r.newServer()
 	r.entry = newDoor(listener, r.log, r.cfg.Limits.Sockets/2)
-	server.ConnState = r.entry.note
+	r.entry.follow(server)
 	r.resume() // before clients are told that the relay is ready
 	go r.loop(work)
 	parts.Go(func() { r.finals.run(deciding) })
