--- a/policy/snapshot.go
+++ b/policy/snapshot.go
@@ -14,6 +14,7 @@
 // State is all that a Sender knows, but for its settings and the terms of its messages.
 type State struct {
 	Now    time.Duration
+	Dests  []destState
 	Gates  []gateState
 	Calls  []callState
 	Msgs   []msgState
@@ -62,6 +63,12 @@
 	return fields.read(data)
 }
 
+type destState struct {
+	ID     int
+	Opens  time.Duration
+	BareAt time.Duration
+}
+
 type gateState struct {
 	Dest     int
 	Separate bool
@@ -126,6 +133,7 @@
 func (s *Sender) State() State {
 	st := State{Now: s.now, Shares: map[string]record{}, Least: s.least, Scarce: s.scarce}
 	for _, d := range s.order {
+		st.Dests = append(st.Dests, destState{d.id, d.opens, d.bareAt})
 		for _, g := range d.gates {
 			x := gateState{Dest: d.id, Separate: g.separate, Kind: g.kind, Fields: g.fields()}
 			for _, r := range g.routes {
@@ -216,10 +224,19 @@
 		}
 		t.rest = x.Rest
 	}
+	for _, x := range st.Dests { // looked at when it would have been
+		s.destination(x.ID).opens = x.Opens
+	}
 	return s, nil
 }
 
 func (s *Sender) restoreRoutes(st State) error {
+	for _, x := range st.Dests {
+		d := s.destination(x.ID)
+		if d.bareAt = x.BareAt; d.bareAt > 0 {
+			s.bare = append(s.bare, d)
+		}
+	}
 	for _, x := range st.Gates {
 		d := s.destination(x.Dest)
 		g := &gate{dest: d, separate: x.Separate, kind: x.Kind}
@@ -236,12 +253,6 @@
 			s.routes[r.Route] = r
 		}
 	}
-	for _, d := range s.order {
-		if !d.routed() {
-			d.bareAt = s.now
-			s.bare = append(s.bare, d)
-		}
-	}
 	return nil
 }
 
