Start bundling routes at this sender's part, and grow no pace where little is left

A call carried 2.6 messages where 10 fit. The pace starts free, and each of 80 senders needs refusals of its own to find one; then each success lets it grow by a quarter. After a mass kill the journals' messages had a token in every hand, one burst again.

At fault: state.go, add() left the pace at 0; resume.go, resume() gave every sender a first token; policy.go, creep() took no notice of the told rest of the limit.

Now, among many senders: a route whose calls carry several messages starts at the sender's part with its first call drawn over one interval, so that what waits travels together, and a pace does not grow while less than 0.4 of the limit is told left.

--- a/policy/fleet.go
+++ b/policy/fleet.go
@@ -2,10 +2,12 @@
 
 import "time"
 
-// What is harmless from one sender and harmful from many at once: connections held idle.
+// What is harmless from one sender and harmful from many at once: bursts at a start, connections held idle, paces
+// that grow past what is left for all. A sender of many meets a route too seldom to learn it from outcomes.
 
 const (
 	fewSenders = 6                      // so many fit any table, and see enough of a route by themselves
+	leftLow    = 0.4                    // share of a limit left under which a pace does not grow
 	tightMost  = 2                      // failed connections in a row that a full table explains
 	tightRest  = 300 * time.Millisecond // rest of a route with a full table: about an answer's time
 	scarceSpan = 30 * time.Second       // how long a kind whose table was full is short of connections
@@ -16,6 +18,29 @@
 	return r.Kind >= 0 && r.Kind < len(s.set.Kinds) && s.set.Kinds[r.Kind].PerCall > 1
 }
 
+// opening paces a gate from the start where calls may carry several messages and its limit is listed. Guards
+// against many senders that are free to call until each has met refusals: what waits for its part travels together.
+func (s *Sender) opening(r *route) {
+	if g := r.gate; g.pace == 0 && s.set.Senders > fewSenders && s.bundles(r) && s.limit(g) > 0 {
+		s.paced(g)
+	}
+}
+
+// paced starts a gate at this sender's part. Many senders draw when the first call is due: a token in every hand
+// would be one burst of them all.
+func (s *Sender) paced(g *gate) {
+	g.pace, g.tokens, g.tokensAt = s.part(g), 1, s.now
+	if s.set.Senders > fewSenders {
+		g.tokens = s.rng.Float64()
+	}
+}
+
+// usedUp tells whether little of a gate's limit is left, as told with the last answer. Guards against many senders
+// that grow their paces past it by turns, each on a success or two.
+func (s *Sender) usedUp(g *gate) bool {
+	return s.set.Senders > fewSenders && g.limit > 0 && g.left < leftLow
+}
+
 // holdsNone tells whether no connection to a route is held idle. What many senders hold is missing in the tables
 // of destinations, which have room for calls at work. Where messages share calls, those are few and come steadily:
 // there a connection is kept until the kind turns out to be short of them.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -330,6 +330,9 @@
 	if g.pace > paceFree*math.Max(1, s.lastSecond(g)) {
 		return
 	}
+	if s.usedUp(g) {
+		return
+	}
 	growth := 1 + paceCreep
 	if g.ceiling > 0 && g.pace > paceNear*g.ceiling {
 		growth = 1 + paceCrawl
--- a/policy/resume.go
+++ b/policy/resume.go
@@ -27,7 +27,7 @@
 	}
 	for _, g := range m.dest.gates {
 		if g.pace == 0 {
-			g.pace, g.tokens, g.tokensAt = s.part(g), 1, s.now
+			s.paced(g)
 		}
 	}
 }
--- /dev/null
+++ b/policy/size_test.go
@@ -0,0 +1,91 @@
+package policy
+
+import (
+	"testing"
+	"time"
+)
+
+// What is harmless from one sender and harmful from 80 at once.
+
+// firstCalls gives each of 80 senders four messages for one route, all at the same time, and tells when calls leave.
+func firstCalls(t *testing.T, weight float64, resumed *Resumed) []time.Duration {
+	t.Helper()
+	set := settings()
+	set.Senders, set.Kinds = 80, []Kind{{Separate: true, PerCall: 10}}
+	var calls []time.Duration
+	for seed := range uint64(80) {
+		s, err := New(set, seed)
+		if err != nil {
+			t.Fatal(err)
+		}
+		start := time.Minute
+		evs := []Event{{Kind: ListWhole, List: []Listing{{Route: "a", Weight: weight, InService: true}}}}
+		for id := range uint32(4) {
+			evs = append(evs, Event{Kind: Taken, ID: id + 1, Left: 12 * time.Second, Resumed: resumed})
+		}
+		left := 4
+		for now := start; left > 0 && now < start+12*time.Second; {
+			sent, next := 0, start+12*time.Second
+			for _, a := range s.Step(now, evs) {
+				switch a.Kind {
+				case Send:
+					sent++
+				case Wake:
+					next = now + a.Delay
+				}
+			}
+			if sent > 0 {
+				calls = append(calls, now-start)
+			}
+			left -= sent
+			now, evs = next, []Event{{Kind: Woken}}
+		}
+		if left > 0 {
+			t.Errorf("sender %d: %d messages never left", seed, left)
+		}
+	}
+	return calls
+}
+
+// The first call of a pace was free: 80 senders made 80 at once where 20 a second are taken, and after a mass kill
+// again with what the journals held. Bundles are worth waiting for.
+func TestManySendersStartAtTheirParts(t *testing.T) {
+	const weight = 20
+	for name, resumed := range map[string]*Resumed{"new": nil, "from the journal": {}} {
+		calls := firstCalls(t, weight, resumed)
+		within := 0
+		for _, at := range calls {
+			if at < time.Second {
+				within++
+			}
+		}
+		if within > weight*3/2 {
+			t.Errorf("%s: %d calls in the first second at a limit of %d", name, within, weight)
+		}
+		if len(calls) > 81 {
+			t.Errorf("%s: %d calls for 80 bundles", name, len(calls))
+		}
+	}
+}
+
+// Paces grew on success alone, so that 80 senders overshot the limit by turns: what is left of it is told.
+func TestAPaceGrowsNotWhereLittleIsLeft(t *testing.T) {
+	for _, c := range []struct {
+		senders int
+		left    float64
+		grows   bool
+	}{{80, 0.1, false}, {80, 0.9, true}, {3, 0.1, true}} {
+		set := settings()
+		set.Senders = c.senders
+		d := newDesk(t, set, Listing{Route: "a", Weight: 20})
+		g := d.s.routes["a"].gate
+		g.pace = 0.25
+		d.take(1, 0)
+		d.now += 100 * ms
+		d.step(Event{Kind: Finished, ID: 1, Route: "a", Took: 100 * ms, Ended: true,
+			Report: Report{Told: true, Left: c.left, Limit: 20}})
+		if got := g.pace > 0.25; got != c.grows {
+			t.Errorf("%+v: grown %v", c, got)
+		}
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -30,6 +30,7 @@
 	coldAt   time.Duration
 	coldLeft time.Duration // when a route in doubt last left the list; long ago if none
 	limit    float64       // reported, calls a second
+	left     float64       // share of it that was left, as reported last
 	got      float64       // own deliveries a second, in the mean, as of gotAt
 	gotAt    time.Duration
 	out      int // calls out
@@ -260,6 +261,7 @@
 	}
 	r.gate = d.gates[len(d.gates)-1]
 	r.gate.routes = append(r.gate.routes, r)
+	s.opening(r)
 }
 
 func (s *Sender) destination(id int) *dest {
@@ -418,7 +420,7 @@
 // report notes what a route's destination told of its limit.
 func (s *Sender) report(r *route, rep Report) {
 	if rep.Told && rep.Limit > 0 {
-		r.gate.limit = rep.Limit
+		r.gate.limit, r.gate.left = rep.Limit, rep.Left
 		if least := s.least[r.Kind]; least == 0 || rep.Limit < least {
 			s.least[r.Kind] = rep.Limit
 		}
