Spread calls for the list over the fleet, so that discovery answers them all

By 15 s the release had replaced most endpoints, and they called the old ones until the end: 498 of 999 messages to destination 4's main route met no connection.

So the first calls and the first pauses have to be spread as well. Ruled out: the relay's own time-outs (watchSilence 4.5 s; the resets come from the other side).

At fault: discovery.go, run(): no jitter, pauses from 50 ms, capped at 1 s, and the first call at once.

Now, where the list must be asked for, pauses are drawn from 75 ms a relay (6 s at 80, 0.2 s at 3) up to 8 s, the first call of a relay that has a list too. Where the agent has it at no cost the bounds are the old ones, drawn as well.

--- a/internal/relay/discovery.go
+++ b/internal/relay/discovery.go
@@ -8,10 +8,13 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
 	"time"
+
+	"onyxroad.dev/onyxroad/policy"
 )
 
 const (
@@ -19,6 +22,8 @@
 	watchLineMost = 1 << 20
 	retryFirst    = 50 * time.Millisecond
 	retryMost     = time.Second
+	askSpan       = 75 * time.Millisecond // for each relay of the fleet, where calls for the list cost discovery work
+	askMost       = 8 * time.Second
 	noticeTimeout = time.Second
 	noticeMost    = 256 // lines in a request
 )
@@ -39,26 +44,56 @@
 	addr    string
 	silence time.Duration // a watch with no line for so long is dead: one comes every 2 s
 	told    func(List)
+	first   time.Duration // longest pause after a watch that held
+	most    time.Duration // and after many that failed
+	late    bool          // the first watch waits, too
+	rng     *rand.Rand
+}
+
+// pauses are the bounds of a watcher's pauses. An agent on the relay's own machine answers at no cost, and a list from
+// it should not wait. Where the list has to be asked for, one discovery serves the whole fleet: it takes so many calls
+// a second, and those that it could not answer in time cost it work all the same. Relays that share nothing can only
+// spread their calls over a time that grows with their number.
+func pauses(set policy.Settings) (first, most time.Duration) {
+	if !set.AskList {
+		return retryFirst, retryMost
+	}
+	return min(askMost, max(retryFirst, time.Duration(set.Senders)*askSpan)), askMost
 }
 
-// run follows the list from version on until ctx ends.
+// run follows the list from version on until ctx ends. It pauses for a random part of a bound that doubles while
+// watches fail: what fails for many relays at one moment must not be asked for again by all at another.
 func (w *watcher) run(ctx context.Context, version int64) {
-	pause := retryFirst
+	bound := w.first
+	if w.late { // it has a list, and all that started together would ask together
+		sleep(ctx, w.upTo(bound))
+	}
 	for ctx.Err() == nil {
-		was := version
-		err := w.follow(ctx, &version)
+		began := time.Now()
+		held, err := w.follow(ctx, &version)
 		if ctx.Err() != nil {
 			return
 		}
-		w.log.Warn("watch ended", "version", version, "err", err)
-		if version != was {
-			pause = retryFirst
+		if held && time.Since(began) > bound {
+			bound = w.first
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(pause):
-		}
-		pause = min(retryMost, 2*pause)
+		pause := w.upTo(bound)
+		w.log.Warn("watch ended", "version", version, "err", err, "again_in", pause)
+		sleep(ctx, pause)
+		bound = min(w.most, 2*bound)
+	}
+}
+
+// upTo draws a pause.
+func (w *watcher) upTo(bound time.Duration) time.Duration {
+	return time.Duration(w.rng.Int64N(int64(bound)))
+}
+
+// sleep waits for d or ctx's end.
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
 	}
 }
 
@@ -94,7 +129,8 @@
 
 // follow is one watch, until its connection ends or falls silent. A connection that is cut off says nothing:
 // only the missing lines tell. version is kept up, so that the next watch resumes where this one ended.
-func (w *watcher) follow(ctx context.Context, version *int64) error {
+// held tells whether anything came of it.
+func (w *watcher) follow(ctx context.Context, version *int64) (held bool, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	silence := time.AfterFunc(w.silence, cancel)
@@ -102,15 +138,15 @@
 	url := fmt.Sprintf("http://%s/catalog/members?stream=1&index=%d", w.addr, *version)
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
-		return err
+		return held, err
 	}
 	res, err := w.client.Do(req)
 	if err != nil {
-		return err
+		return held, err
 	}
 	defer res.Body.Close()
 	if res.StatusCode != http.StatusOK {
-		return fmt.Errorf("discovery answers %s", res.Status)
+		return held, fmt.Errorf("discovery answers %s", res.Status)
 	}
 	lines := bufio.NewScanner(res.Body)
 	lines.Buffer(nil, watchLineMost)
@@ -118,19 +154,20 @@
 		silence.Reset(w.silence)
 		line := bytes.TrimSpace(lines.Bytes())
 		if len(line) == 0 {
+			held = true
 			continue
 		}
 		l, err := parseList(line)
 		if err != nil {
-			return fmt.Errorf("unreadable line: %w", err)
+			return held, fmt.Errorf("unreadable line: %w", err)
 		}
-		*version = l.Version
+		held, *version = true, l.Version
 		w.told(l)
 	}
 	if err := lines.Err(); err != nil {
-		return err
+		return held, err
 	}
-	return io.ErrUnexpectedEOF
+	return held, io.ErrUnexpectedEOF
 }
 
 // finals delivers the final notices to the platform, each until it is taken.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -10,6 +10,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -197,9 +198,12 @@
 	go r.loop(work)
 	parts.Go(func() { r.finals.run(deciding) })
 	list := follower{
-		watcher: watcher{r.log, r.agent, r.cfg.Discovery, watchSilence, func(l List) { r.post(l) }},
+		watcher: watcher{log: r.log, client: r.agent, addr: r.cfg.Discovery, silence: watchSilence,
+			told: func(l List) { r.post(l) }, rng: rand.New(rand.NewPCG(r.cfg.Seed, 0))},
 		version: r.cfg.Known.Version,
 	}
+	list.first, list.most = pauses(r.cfg.Settings)
+	list.late = r.cfg.Settings.AskList && len(r.cfg.Known.Entries) > 0
 	list.move(deciding, r.cfg.Discovery)
 	parts.Go(func() { r.followMoves(deciding, &list) })
 	if successors != nil {
@@ -370,7 +374,9 @@
 	if len(found.Messages) > 0 || found.Damaged {
 		r.log.Info("recovered", "messages", len(found.Messages), "damaged", found.Damaged)
 	}
-	r.carryOut(r.sender.Step(r.now(), evs), nil)
+	acts := r.sender.Step(r.now(), evs)
+	traceStep(evs, acts)
+	r.carryOut(acts, nil)
 }
 
 // newMessage is a message of a class, nil where its terms are lost.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -203,7 +204,8 @@
 	told := make(chan List, 10)
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
-	w := watcher{quiet(), newAgentClient(), addrOf(s), 50 * time.Millisecond, func(l List) { told <- l }}
+	w := watcher{log: quiet(), client: newAgentClient(), addr: addrOf(s), silence: 50 * time.Millisecond,
+		told: func(l List) { told <- l }, first: retryFirst, most: retryMost, rng: rand.New(rand.NewPCG(1, 0))}
 	go w.run(ctx, 4)
 	for _, want := range []string{"4", "9"} {
 		select {
