Let a pace crawl beyond its part, and count its first success from its start

At fault: policy.go, creep(). Where a sender meets a route once in four seconds, one success counts for those seconds, so that each of 80 more than doubles its pace while the told rest of the limit still stands high; and the first success of a pace that began at the start counted for eight (creptAt was 0).

Now many senders crawl above their part as they do near a refused rate, and a pace counts from its start. Few senders as before.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -374,9 +374,7 @@
 	if len(found.Messages) > 0 || found.Damaged {
 		r.log.Info("recovered", "messages", len(found.Messages), "damaged", found.Damaged)
 	}
-	acts := r.sender.Step(r.now(), evs)
-	traceStep(evs, acts)
-	r.carryOut(acts, nil)
+	r.carryOut(r.sender.Step(r.now(), evs), nil)
 }
 
 // newMessage is a message of a class, nil where its terms are lost.
--- a/policy/fleet.go
+++ b/policy/fleet.go
@@ -29,7 +29,7 @@
 // paced starts a gate at this sender's part. Many senders draw when the first call is due: a token in every hand
 // would be one burst of them all.
 func (s *Sender) paced(g *gate) {
-	g.pace, g.tokens, g.tokensAt = s.part(g), 1, s.now
+	g.pace, g.creptAt, g.tokens, g.tokensAt = s.part(g), s.now, 1, s.now
 	if s.set.Senders > fewSenders {
 		g.tokens = s.rng.Float64()
 	}
@@ -41,6 +41,9 @@
 	return s.set.Senders > fewSenders && g.limit > 0 && g.left < leftLow
 }
 
+// beyond tells whether a pace is above this sender's part: it grows at the expense of many others then, and slowly.
+func (s *Sender) beyond(g *gate) bool { return s.set.Senders > fewSenders && g.pace > s.part(g) }
+
 // holdsNone tells whether no connection to a route is held idle. What many senders hold is missing in the tables
 // of destinations, which have room for calls at work. Where messages share calls, those are few and come steadily:
 // there a connection is kept until the kind turns out to be short of them.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -334,7 +334,7 @@
 		return
 	}
 	growth := 1 + paceCreep
-	if g.ceiling > 0 && g.pace > paceNear*g.ceiling {
+	if g.ceiling > 0 && g.pace > paceNear*g.ceiling || s.beyond(g) {
 		growth = 1 + paceCrawl
 	}
 	// Where successes are seconds apart, each counts for the seconds that it stands for.
--- a/policy/size_test.go
+++ b/policy/size_test.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"math"
 	"testing"
 	"time"
 )
@@ -68,6 +69,23 @@
 	}
 }
 
+// The first success of a pace counted for all the time before it began: eight seconds, six times the pace.
+func TestTheFirstSuccessOfAPaceCountsFromItsStart(t *testing.T) {
+	set := settings()
+	set.Senders, set.Kinds = 80, []Kind{{Separate: true, PerCall: 10}}
+	d := newDesk(t, set, Listing{Route: "a", Weight: 80})
+	g := d.s.routes["a"].gate
+	was := g.pace
+	for id := uint32(1); len(d.s.routes["a"].calls) == 0; id++ {
+		d.now += 100 * ms
+		d.take(id, 0)
+	}
+	d.end(1, "a", OK, 100*ms, 0)
+	if most := was * math.Pow(1+paceCreep, (d.now-time.Minute).Seconds()+1); g.pace > most {
+		t.Errorf("pace %.2f after %v, from %.2f", g.pace, d.now-time.Minute, was)
+	}
+}
+
 // Paces grew on success alone, so that 80 senders overshot the limit by turns: what is left of it is told.
 func TestAPaceGrowsNotWhereLittleIsLeft(t *testing.T) {
 	for _, c := range []struct {
@@ -89,3 +107,25 @@
 		}
 	}
 }
+
+// Where a sender of 80 meets a route once in four seconds, each success more than doubled its pace, and together they
+// overshot the limit by half before any was refused.
+func TestAPaceCrawlsBeyondItsPart(t *testing.T) {
+	for _, c := range []struct {
+		senders    int
+		of         float64 // the part
+		least, top float64 // growth with a success after 4 s
+	}{{80, 0.5, 2, 3}, {80, 1.2, 1, 1.2}, {3, 1.2, 2, 3}} {
+		set := settings()
+		set.Senders = c.senders
+		d := newDesk(t, set, Listing{Route: "a", Weight: float64(c.senders) / 4})
+		g := d.s.routes["a"].gate
+		d.s.now = d.now
+		was := c.of * d.s.part(g)
+		g.pace, g.creptAt = was, d.now-4*time.Second
+		d.s.creep(g)
+		if got := g.pace / was; got <= c.least || got > c.top {
+			t.Errorf("%+v: grown by %.2f", c, got)
+		}
+	}
+}
