Have a pace follow the limit that answers tell, in large fleets

The pace knew refusals alone, and each of 80 senders needs its own.

At fault: state.go, report() noted the limit for parts and budgets; no pace took it. Now a pace and its ceiling move in proportion to what is told. That telescopes, so that a noisy report leaves no trace once the next has come.

--- a/policy/fleet.go
+++ b/policy/fleet.go
@@ -1,6 +1,9 @@
 package policy
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // What is harmless from one sender and harmful from many at once: bursts at a start, connections held idle, paces
 // that grow past what is left for all. A sender of many meets a route too seldom to learn it from outcomes.
@@ -41,6 +44,14 @@
 	return s.set.Senders > fewSenders && g.limit > 0 && g.left < leftLow
 }
 
+// relimit has a pace follow the limit as it is told. Guards against many senders that go on as before where a
+// destination lowers its limit, until each has been refused, and against as slow a return when it raises it.
+func (s *Sender) relimit(g *gate, told float64) {
+	if was := s.limit(g); s.set.Senders > fewSenders && g.pace > 0 && was > 0 {
+		g.pace, g.ceiling = math.Max(paceLeast, g.pace*told/was), g.ceiling*told/was
+	}
+}
+
 // beyond tells whether a pace is above this sender's part: it grows at the expense of many others then, and slowly.
 func (s *Sender) beyond(g *gate) bool { return s.set.Senders > fewSenders && g.pace > s.part(g) }
 
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -315,7 +315,7 @@
 	least := math.Max(paceLeast, paceSure*s.limit(g)/float64(s.set.Senders))
 	g.ceiling, g.pace = math.Max(rate, least), math.Max(rate/2, least)
 	g.tokens, g.tokensAt, g.halvedAt = 0, s.now, s.now
-	// A clump refused at hundreds of senders comes again spread over several times its own length.
+	// A clump that was refused comes again spread over several times its own length.
 	if s.sparse(g) {
 		g.tokens = 0.5 - sparseSpread*s.rng.Float64()
 	}
--- a/policy/size_test.go
+++ b/policy/size_test.go
@@ -9,10 +9,10 @@
 // What is harmless from one sender and harmful from 80 at once.
 
 // firstCalls gives each of 80 senders four messages for one route, all at the same time, and tells when calls leave.
-func firstCalls(t *testing.T, weight float64, resumed *Resumed) []time.Duration {
+func firstCalls(t *testing.T, weight float64, perCall int, resumed *Resumed) []time.Duration {
 	t.Helper()
 	set := settings()
-	set.Senders, set.Kinds = 80, []Kind{{Separate: true, PerCall: 10}}
+	set.Senders, set.Kinds = 80, []Kind{{Separate: true, PerCall: perCall}}
 	var calls []time.Duration
 	for seed := range uint64(80) {
 		s, err := New(set, seed)
@@ -35,7 +35,7 @@
 					next = now + a.Delay
 				}
 			}
-			if sent > 0 {
+			for range (sent + perCall - 1) / perCall {
 				calls = append(calls, now-start)
 			}
 			left -= sent
@@ -53,7 +53,7 @@
 func TestManySendersStartAtTheirParts(t *testing.T) {
 	const weight = 20
 	for name, resumed := range map[string]*Resumed{"new": nil, "from the journal": {}} {
-		calls := firstCalls(t, weight, resumed)
+		calls := firstCalls(t, weight, 10, resumed)
 		within := 0
 		for _, at := range calls {
 			if at < time.Second {
@@ -129,3 +129,23 @@
 		}
 	}
 }
+
+// Told of a limit lowered to half, 80 senders went on until each had been refused, and came back as slowly.
+func TestAPaceFollowsTheToldLimit(t *testing.T) {
+	for _, c := range []struct {
+		senders int
+		told    float64
+		want    float64
+	}{{80, 20, 0.5}, {80, 80, 2}, {80, 40, 1}, {3, 20, 1}} {
+		set := settings()
+		set.Senders = c.senders
+		d := newDesk(t, set, Listing{Route: "a", Weight: 40})
+		g := d.s.routes["a"].gate
+		g.pace, g.ceiling, g.creptAt = 0.4, 0.4, d.now // at its ceiling, it hardly grows
+		d.s.now = d.now
+		d.s.report(d.s.routes["a"], Report{Told: true, Left: 0.1, Limit: c.told})
+		if got := g.pace / 0.4; math.Abs(got-c.want) > 0.01 {
+			t.Errorf("%+v: pace changed by %.2f", c, got)
+		}
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -420,6 +420,7 @@
 // report notes what a route's destination told of its limit.
 func (s *Sender) report(r *route, rep Report) {
 	if rep.Told && rep.Limit > 0 {
+		s.relimit(r.gate, rep.Limit)
 		r.gate.limit, r.gate.left = rep.Limit, rep.Left
 		if least := s.least[r.Kind]; least == 0 || rep.Limit < least {
 			s.least[r.Kind] = rep.Limit
