--- a/policy/fleet.go
+++ b/policy/fleet.go
@@ -52,6 +52,15 @@
 	}
 }
 
+// spread is over how many calls at the pace refused sparse senders spread. Many are paced from the start: their clumps
+// are short, and what they leave unused of a limit is many times what one does.
+func (s *Sender) spread() float64 {
+	if s.set.Senders > fewSenders {
+		return 1
+	}
+	return sparseSpread
+}
+
 // beyond tells whether a pace is above this sender's part: it grows at the expense of many others then, and slowly.
 func (s *Sender) beyond(g *gate) bool { return s.set.Senders > fewSenders && g.pace > s.part(g) }
 
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -317,7 +317,7 @@
 	g.tokens, g.tokensAt, g.halvedAt = 0, s.now, s.now
 	// A clump that was refused comes again spread over several times its own length.
 	if s.sparse(g) {
-		g.tokens = 0.5 - sparseSpread*s.rng.Float64()
+		g.tokens = 0.5 - s.spread()*s.rng.Float64()
 	}
 }
 
--- a/policy/size_test.go
+++ b/policy/size_test.go
@@ -149,3 +149,25 @@
 		}
 	}
 }
+
+// After a refusal each of 80 senders stayed away for up to four calls' time at a pace already halved: half of a
+// lowered limit stood unused while messages ran out of time.
+func TestARefusedSparseSenderComesBackSoon(t *testing.T) {
+	for seed := range uint64(50) {
+		set := settings()
+		set.Senders = 80
+		s, err := New(set, seed)
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.Step(time.Minute, []Event{{Kind: ListWhole, List: []Listing{{Route: "a", Weight: 8, InService: true}}}})
+		r := s.routes["a"]
+		if !s.sparse(r.gate) {
+			t.Fatal("not sparse")
+		}
+		s.halve(r, sample{outcome: Full, sent: s.now})
+		if calls := (s.opensAt(r) - s.now).Seconds() * r.gate.pace; calls < 0.4 || calls > 1.6 {
+			t.Errorf("seed %d: away for %.1f calls' time", seed, calls)
+		}
+	}
+}
