--- a/policy/fleet.go
+++ b/policy/fleet.go
@@ -9,11 +9,12 @@
 // that grow past what is left for all. A sender of many meets a route too seldom to learn it from outcomes.
 
 const (
-	fewSenders = 6                      // so many fit any table, and see enough of a route by themselves
-	leftLow    = 0.4                    // share of a limit left under which a pace does not grow
-	tightMost  = 2                      // failed connections in a row that a full table explains
-	tightRest  = 300 * time.Millisecond // rest of a route with a full table: about an answer's time
-	scarceSpan = 30 * time.Second       // how long a kind whose table was full is short of connections
+	fewSenders   = 6                      // so many fit any table, and see enough of a route by themselves
+	leftLow      = 0.4                    // share of a limit left under which a pace does not grow
+	singlesStart = 2.0                    // of its part: the pace of singles at the start
+	tightMost    = 2                      // failed connections in a row that a full table explains
+	tightRest    = 300 * time.Millisecond // rest of a route with a full table: about an answer's time
+	scarceSpan   = 30 * time.Second       // how long a kind whose table was full is short of connections
 )
 
 // bundles tells whether a call to a route may carry several messages.
@@ -21,11 +22,17 @@
 	return r.Kind >= 0 && r.Kind < len(s.set.Kinds) && s.set.Kinds[r.Kind].PerCall > 1
 }
 
-// opening paces a gate from the start where calls may carry several messages and its limit is listed. Guards
-// against many senders that are free to call until each has met refusals: what waits for its part travels together.
+// opening paces a gate from the start where its limit is listed. Guards against many senders that are free to call
+// until each has met refusals. What waits for its part can travel together in bundles; singles get more than the
+// part, since they wait for nothing else and most senders want less.
 func (s *Sender) opening(r *route) {
-	if g := r.gate; g.pace == 0 && s.set.Senders > fewSenders && s.bundles(r) && s.limit(g) > 0 {
-		s.paced(g)
+	g := r.gate
+	if g.pace > 0 || s.set.Senders <= fewSenders || s.limit(g) == 0 {
+		return
+	}
+	s.paced(g)
+	if !s.bundles(r) {
+		g.pace, g.tokens = singlesStart*g.pace, 1
 	}
 }
 
--- a/policy/size_test.go
+++ b/policy/size_test.go
@@ -69,6 +69,21 @@
 	}
 }
 
+// A clump for a destination that takes singles went out at once from all 80 senders, into refusals that used the
+// limit up.
+func TestManySendersSpreadAClumpOfSingles(t *testing.T) {
+	const weight = 100
+	calls, within := firstCalls(t, weight, 1, nil), 0
+	for _, at := range calls {
+		if at < time.Second {
+			within++
+		}
+	}
+	if within > weight*5/2 {
+		t.Errorf("%d of %d calls in the first second at a limit of %d", within, len(calls), weight)
+	}
+}
+
 // The first success of a pace counted for all the time before it began: eight seconds, six times the pace.
 func TestTheFirstSuccessOfAPaceCountsFromItsStart(t *testing.T) {
 	set := settings()
