Let a pace grow no further than its part with one success, in large fleets

At fault: policy.go, creep(): where a sender has its first success after four seconds, that counts for four, and a pace just below its part became twice it.

Ruled out: told waits that end together (their ends lie apart, two at most in 10 ms).

--- a/policy/fleet.go
+++ b/policy/fleet.go
@@ -71,6 +71,15 @@
 // beyond tells whether a pace is above this sender's part: it grows at the expense of many others then, and slowly.
 func (s *Sender) beyond(g *gate) bool { return s.set.Senders > fewSenders && g.pace > s.part(g) }
 
+// grown is what a pace may grow to: from below this sender's part no further than that. One that meets a route once in
+// some seconds would pass it with a success, and 80 of them as one.
+func (s *Sender) grown(g *gate, to float64) float64 {
+	if part := s.part(g); s.set.Senders > fewSenders && g.pace < part {
+		return math.Min(to, part)
+	}
+	return to
+}
+
 // holdsNone tells whether no connection to a route is held idle. What many senders hold is missing in the tables
 // of destinations, which have room for calls at work. Where messages share calls, those are few and come steadily:
 // there a connection is kept until the kind turns out to be short of them.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -339,7 +339,7 @@
 	}
 	// Where successes are seconds apart, each counts for the seconds that it stands for.
 	steps := min(max(1, (s.now-max(g.creptAt, g.halvedAt)).Seconds()), creepSteps)
-	g.pace, g.creptAt = g.pace*math.Pow(growth, steps), s.now
+	g.pace, g.creptAt = s.grown(g, g.pace*math.Pow(growth, steps)), s.now
 }
 
 // learn takes an outcome as an observation of its route.
--- a/policy/size_test.go
+++ b/policy/size_test.go
@@ -124,13 +124,13 @@
 }
 
 // Where a sender of 80 meets a route once in four seconds, each success more than doubled its pace, and together they
-// overshot the limit by half before any was refused.
+// overshot the limit by half before any was refused. Refused calls use the limit up, and it stayed used up.
 func TestAPaceCrawlsBeyondItsPart(t *testing.T) {
 	for _, c := range []struct {
 		senders    int
 		of         float64 // the part
 		least, top float64 // growth with a success after 4 s
-	}{{80, 0.5, 2, 3}, {80, 1.2, 1, 1.2}, {3, 1.2, 2, 3}} {
+	}{{80, 0.5, 1.99, 2.001}, {80, 1.2, 1, 1.2}, {3, 1.2, 2, 3}} {
 		set := settings()
 		set.Senders = c.senders
 		d := newDesk(t, set, Listing{Route: "a", Weight: float64(c.senders) / 4})
