--- a/policy/fleet.go
+++ b/policy/fleet.go
@@ -11,6 +11,7 @@
 const (
 	fewSenders   = 6                      // so many fit any table, and see enough of a route by themselves
 	leftLow      = 0.4                    // share of a limit left under which a pace does not grow
+	startShare   = 0.9                    // of its even part of a limit: the pace of one of many at the start
 	singlesStart = 2.0                    // of its part: the pace of singles at the start
 	tightMost    = 2                      // failed connections in a row that a full table explains
 	tightRest    = 300 * time.Millisecond // rest of a route with a full table: about an answer's time
@@ -41,7 +42,7 @@
 func (s *Sender) paced(g *gate) {
 	g.pace, g.creptAt, g.tokens, g.tokensAt = s.part(g), s.now, 1, s.now
 	if s.set.Senders > fewSenders {
-		g.tokens = s.rng.Float64()
+		g.pace, g.tokens = startShare*math.Max(leastLimit, s.limit(g))/float64(s.set.Senders), s.rng.Float64()
 	}
 }
 
