--- a/policy/fleet.go
+++ b/policy/fleet.go
@@ -53,10 +53,11 @@
 }
 
 // relimit has a pace follow the limit as it is told. Guards against many senders that go on as before where a
-// destination lowers its limit, until each has been refused, and against as slow a return when it raises it.
+// destination lowers its limit, until each has been refused, and against as slow a return when it raises it. What
+// was told before is what it is held against: a gate's first report tells of no change.
 func (s *Sender) relimit(g *gate, told float64) {
-	if was := s.limit(g); s.set.Senders > fewSenders && g.pace > 0 && was > 0 {
-		g.pace, g.ceiling = math.Max(paceLeast, g.pace*told/was), g.ceiling*told/was
+	if s.set.Senders > fewSenders && g.pace > 0 && g.limit > 0 {
+		g.pace, g.ceiling = math.Max(paceLeast, g.pace*told/g.limit), g.ceiling*told/g.limit
 	}
 }
 
--- a/policy/size_test.go
+++ b/policy/size_test.go
@@ -156,8 +156,14 @@
 		set.Senders = c.senders
 		d := newDesk(t, set, Listing{Route: "a", Weight: 40})
 		g := d.s.routes["a"].gate
-		g.pace, g.ceiling, g.creptAt = 0.4, 0.4, d.now // at its ceiling, it hardly grows
 		d.s.now = d.now
+		// The first report moves nothing: the pace came from the listed weight, or from what calls met.
+		d.s.least[0] = 5
+		g.pace = 0.4
+		d.s.report(d.s.routes["a"], Report{Told: true, Left: 0.1, Limit: 40})
+		if g.pace != 0.4 {
+			t.Errorf("%+v: the first report made the pace %.2f", c, g.pace)
+		}
 		d.s.report(d.s.routes["a"], Report{Told: true, Left: 0.1, Limit: c.told})
 		if got := g.pace / 0.4; math.Abs(got-c.want) > 0.01 {
 			t.Errorf("%+v: pace changed by %.2f", c, got)
