Bound what one told limit does to a pace, and resume few senders as before

A report of 1e300 calls a second would have made a pace infinite for good, since paces follow told limits now: reports of no sense are passed over, and one report moves a pace by four at most, which the next undoes. Resumed paces of few senders had lost their quick first success (fleet.go, paced()).

--- a/policy/fleet.go
+++ b/policy/fleet.go
@@ -12,6 +12,7 @@
 	fewSenders   = 6                      // so many fit any table, and see enough of a route by themselves
 	leftLow      = 0.4                    // share of a limit left under which a pace does not grow
 	startShare   = 0.9                    // of its even part of a limit: the pace of one of many at the start
+	toldStep     = 4.0                    // most by which one told limit changes a pace, up or down
 	singlesStart = 2.0                    // of its part: the pace of singles at the start
 	tightMost    = 2                      // failed connections in a row that a full table explains
 	tightRest    = 300 * time.Millisecond // rest of a route with a full table: about an answer's time
@@ -40,8 +41,9 @@
 // paced starts a gate at this sender's part. Many senders draw when the first call is due: a token in every hand
 // would be one burst of them all.
 func (s *Sender) paced(g *gate) {
-	g.pace, g.creptAt, g.tokens, g.tokensAt = s.part(g), s.now, 1, s.now
+	g.pace, g.tokens, g.tokensAt = s.part(g), 1, s.now
 	if s.set.Senders > fewSenders {
+		g.creptAt = s.now
 		g.pace, g.tokens = startShare*math.Max(leastLimit, s.limit(g))/float64(s.set.Senders), s.rng.Float64()
 	}
 }
@@ -57,7 +59,8 @@
 // was told before is what it is held against: a gate's first report tells of no change.
 func (s *Sender) relimit(g *gate, told float64) {
 	if s.set.Senders > fewSenders && g.pace > 0 && g.limit > 0 {
-		g.pace, g.ceiling = math.Max(paceLeast, g.pace*told/g.limit), g.ceiling*told/g.limit
+		by := math.Min(toldStep, math.Max(1/toldStep, told/g.limit)) // nonsense does little, and the next report undoes it
+		g.pace, g.ceiling = g.pace*by, g.ceiling*by
 	}
 }
 
--- a/policy/size_test.go
+++ b/policy/size_test.go
@@ -192,3 +192,40 @@
 		}
 	}
 }
+
+// Nonsense in a report leaves a pace as it was once a report makes sense again, and never without bound.
+func TestNonsenseInAReportMovesNoPaceForGood(t *testing.T) {
+	for _, told := range []float64{math.NaN(), math.Inf(1), math.Inf(-1), -5, 0, 1e300, 1e-9, 1e5} {
+		set := settings()
+		set.Senders = 80
+		d := newDesk(t, set, Listing{Route: "a", Weight: 40})
+		r := d.s.routes["a"]
+		d.s.report(r, Report{Told: true, Left: 0.5, Limit: 40})
+		was := r.gate.pace
+		d.s.report(r, Report{Told: true, Left: math.NaN(), Limit: told})
+		if got := r.gate.pace; !(got >= was/4 && got <= was*4) {
+			t.Errorf("told %v: pace %v from %v", told, got, was)
+		}
+		d.s.report(r, Report{Told: true, Left: 0.5, Limit: 40})
+		if got := r.gate.pace; math.Abs(got-was) > 1e-9 {
+			t.Errorf("told %v, then sense: pace %v from %v", told, got, was)
+		}
+	}
+}
+
+// A relay of few takes up its journal as before: its first success makes good the time of the restart.
+func TestFewSendersResumeAtTheirPart(t *testing.T) {
+	set := settings()
+	set.Senders = 3
+	d := newDesk(t, set, Listing{Route: "a", Weight: 3})
+	acts := d.step(Event{Kind: Taken, ID: 1, Left: 12 * time.Second, Resumed: &Resumed{}})
+	if goesTo(acts) != "a" {
+		t.Fatal("the first message of the journal waits")
+	}
+	g := d.s.routes["a"].gate
+	was := g.pace
+	d.end(1, "a", OK, 100*ms, 0)
+	if g.pace < 2*was {
+		t.Errorf("pace %.2f after the first success, from %.2f", g.pace, was)
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -417,9 +417,12 @@
 	g.tokensAt = s.now
 }
 
+// mostLimit is more calls a second than any limit is: a report of so many is nonsense.
+const mostLimit = 1e6
+
 // report notes what a route's destination told of its limit.
 func (s *Sender) report(r *route, rep Report) {
-	if rep.Told && rep.Limit > 0 {
+	if rep.Told && rep.Limit > 0 && rep.Limit < mostLimit {
 		s.relimit(r.gate, rep.Limit)
 		r.gate.limit, r.gate.left = rep.Limit, rep.Left
 		if least := s.least[r.Kind]; least == 0 || rep.Limit < least {
