Log nonsense in load reports and waits, with a bound, and pass it over

A figure that is negative, huge or no number was taken as told, or dropped without a word. hosts.go, report() and seconds() pass it over now, and say so once in 10 s with how often it came.

--- a/internal/relay/hosts.go
+++ b/internal/relay/hosts.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -28,6 +29,12 @@
 // answerMost is the most that is read of an answer.
 const answerMost = 1 << 20
 
+// reportMost is more than any figure of a load report is, and oddEvery how often nonsense is logged at most.
+const (
+	reportMost = 1e6
+	oddEvery   = 10 * time.Second
+)
+
 // restFor is how long the body of an answer may take behind its head, where it means nothing.
 const restFor = 100 * time.Millisecond
 
@@ -41,6 +48,7 @@
 	connectTimeout time.Duration
 	idleFor        time.Duration
 	reports        []string
+	log            *slog.Logger // nil: nothing is said
 
 	mu     sync.Mutex
 	most   int                            // connections
@@ -48,6 +56,8 @@
 	open   int                            // connections, idle or not
 	lines  map[*http.ClientConn]*lineConn // of the open ones
 	closed bool
+	oddAt  time.Time // when nonsense in an answer was logged last
+	odd    int       // and how often it came since
 }
 
 type idleConn struct {
@@ -284,7 +294,11 @@
 
 // results reads an answer. readErr is how the reading of its body ended.
 func (h *hosts) results(ctx context.Context, c *call, res *http.Response, body []byte, readErr error) []result {
-	r := result{wait: seconds(res.Header.Get("Retry-After")), report: h.report(res.Header.Get("Endpoint-Load-Metrics"))}
+	wait, sense := seconds(res.Header.Get("Retry-After"))
+	if !sense {
+		h.oddity(c.route, "Retry-After", res.Header.Get("Retry-After"))
+	}
+	r := result{wait: wait, report: h.report(c.route, res.Header.Get("Endpoint-Load-Metrics"))}
 	switch res.StatusCode {
 	case http.StatusOK:
 		if len(c.attempts) > 1 {
@@ -348,7 +362,7 @@
 }
 
 // report reads what a host tells of its limit.
-func (h *hosts) report(text string) policy.Report {
+func (h *hosts) report(route, text string) policy.Report {
 	var rep policy.Report
 	text, ok := strings.CutPrefix(text, "TEXT ")
 	if !ok {
@@ -356,8 +370,12 @@
 	}
 	for pair := range strings.SplitSeq(text, ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(pair), "=")
+		if !slices.Contains(h.reports, name) {
+			continue
+		}
 		x, err := strconv.ParseFloat(value, 64)
-		if err != nil || !slices.Contains(h.reports, name) {
+		if err != nil || !(x >= 0 && x <= reportMost) {
+			h.oddity(route, name, value)
 			continue
 		}
 		switch name {
@@ -370,13 +388,29 @@
 	return rep
 }
 
-// seconds reads a Retry-After, whole or decimal; 0 if there is none that can be read.
-func seconds(text string) time.Duration {
+// oddity says that a host sent what makes no sense and is passed over: once in a while, with how often it came.
+func (h *hosts) oddity(route, field, value string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.odd++
+	if h.log == nil || time.Since(h.oddAt) < oddEvery {
+		return
+	}
+	h.log.Warn("nonsense in an answer passed over", "route", route, "field", field, "value", value[:min(len(value), 40)],
+		"times", h.odd)
+	h.oddAt, h.odd = time.Now(), 0
+}
+
+// seconds reads a Retry-After, whole or decimal; 0 if there is none that can be read, and whether it makes sense.
+func seconds(text string) (wait time.Duration, sense bool) {
+	if text == "" {
+		return 0, true
+	}
 	x, err := strconv.ParseFloat(text, 64)
-	if err != nil || !(x > 0) || x > 1e6 {
-		return 0
+	if err != nil || !(x >= 0 && x <= 1e6) {
+		return 0, false
 	}
-	return time.Duration(x * float64(time.Second))
+	return time.Duration(x * float64(time.Second)), true
 }
 
 // alike gives every attempt of a call the same end.
--- a/internal/relay/hosts_test.go
+++ b/internal/relay/hosts_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -370,6 +372,24 @@
 	}
 }
 
+// Nonsense in a load report or a wait is passed over, and said once in a while, not with every answer.
+func TestNonsenseInAnswersIsPassedOver(t *testing.T) {
+	h := testHosts(t, testConfig())
+	var out bytes.Buffer
+	h.log = slog.New(slog.NewTextHandler(&out, nil))
+	for _, value := range []string{"NaN", "-1", "1e300", "+Inf", "often"} {
+		header := http.Header{"Retry-After": {value}, "Endpoint-Load-Metrics": {"TEXT x0=" + value + ", x1=" + value}}
+		res := &http.Response{StatusCode: http.StatusTooManyRequests, Header: header}
+		r := h.results(t.Context(), newCall("", "a"), res, nil, nil)
+		if want := (result{outcome: policy.Full}); r[0] != want {
+			t.Errorf("%s: %+v, want %+v", value, r[0], want)
+		}
+	}
+	if n := strings.Count(out.String(), "nonsense"); n != 1 || h.odd != 14 {
+		t.Errorf("said %d times, %d since: %s", n, h.odd, out.String())
+	}
+}
+
 func TestBundles(t *testing.T) {
 	ids := []string{"a", "b", "c", "d", "e", "f"}
 	for _, c := range []struct {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -159,6 +159,7 @@
 		started: time.Now().Add(-clockStart), sender: sender, wal: w, lock: lock, live: map[*call]struct{}{},
 		msgs: map[uint32]*message{}, traces: map[string]*message{}, routes: map[string]target{},
 	}
+	r.hosts.log = log
 	r.finals = newFinals(log, r.agent, cfg.Discovery, func(ids []uint32) { r.post(confirmed{ids}) })
 	r.found = recovered
 	r.does.Store(&policy.Door{Ready: true, Keep: true, IdleFor: -1, Listen: true, Send: true})
