Let no repeat leave after its window where its connection came up late

The repeat was decided 2.38 s after the first send and written 3.38 s after it: its connection went to a host that was away, and came up with the second SYN a second later. In the trace of 77,583 messages some dozens of calls are written 1.00 s after their decision, all from 11.2 s to 12.1 s, when the hosts come back.

At fault: Sender.MayStill, which is asked once a connection has come up, looked at the route, its wait and the door, and not at the message. It is asked for each message of a call now, and a call carries those that may still leave.

--- a/internal/relay/hosts.go
+++ b/internal/relay/hosts.go
@@ -113,26 +113,53 @@
 	}
 }
 
-// do makes a call and tells the end of each of its attempts, in their order. clear is asked once more before
-// the request is written where a new connection had to come up first.
-func (h *hosts) do(ctx context.Context, c *call, clear func() bool) []result {
+// do makes a call and tells the end of each of its attempts, in their order. clear is asked once more, before
+// the request is written, which of them may leave where a new connection had to come up first.
+func (h *hosts) do(ctx context.Context, c *call, clear func(*call) []*attempt) []result {
 	ctx, cancel := context.WithDeadline(ctx, c.until)
 	defer cancel()
 	conn, fresh, err := h.conn(ctx, c.addr)
 	if err != nil {
 		return alike(c, result{outcome: policy.ConnectFailed})
 	}
-	// While the connection came up, a drain or a wait may have been told.
-	if fresh && !clear() {
+	going := c
+	if fresh {
+		// While the connection came up, a drain or a wait may have been told, or a message's time to be repeated ended.
+		// A host that was away answers the second try for a connection, a whole second after the first.
+		going = c.only(clear(c))
+	}
+	if len(going.attempts) == 0 {
 		h.put(c.addr, conn)
 		return alike(c, result{outcome: policy.Moot})
 	}
-	req, err := newRequest(ctx, c)
+	req, err := newRequest(ctx, going)
 	if err != nil {
 		h.put(c.addr, conn)
 		return alike(c, result{outcome: policy.Moot})
 	}
-	return h.exchange(req, c, conn)
+	return c.all(going, h.exchange(req, going, conn))
+}
+
+// only is a call of some of its attempts.
+func (c *call) only(going []*attempt) *call {
+	if len(going) == len(c.attempts) {
+		return c
+	}
+	part := *c
+	part.attempts = going
+	return &part
+}
+
+// all gives every attempt of a call its end, those that did not go among them.
+func (c *call) all(going *call, ends []result) []result {
+	if going == c {
+		return ends
+	}
+	results := alike(c, result{outcome: policy.Moot})
+	for i, a := range going.attempts {
+		results[slices.Index(c.attempts, a)] = ends[i]
+	}
+	return results
 }
 
 // exchange writes the request and reads its answer.
--- a/internal/relay/hosts_test.go
+++ b/internal/relay/hosts_test.go
@@ -46,7 +46,7 @@
 	return c
 }
 
-func yes() bool { return true }
+func yes(c *call) []*attempt { return c.attempts }
 
 // eventually waits for a condition.
 func eventually(t *testing.T, what string, ok func() bool) {
@@ -238,19 +238,49 @@
 		return true
 	})
 	h := testHosts(t, testConfig())
-	if r := h.do(t.Context(), newCall(addr, "a"), func() bool { return false }); r[0].outcome != policy.Moot {
+	if r := h.do(t.Context(), newCall(addr, "a"), func(*call) []*attempt { return nil }); r[0].outcome != policy.Moot {
 		t.Errorf("outcome %v", r[0].outcome)
 	}
 	if n := requests.Load(); n != 0 {
 		t.Errorf("the host saw %d requests", n)
 	}
 	// The connection is kept, and needs no second look.
-	r := h.do(t.Context(), newCall(addr, "b"), func() bool { t.Error("asked again"); return false })
+	r := h.do(t.Context(), newCall(addr, "b"), func(*call) []*attempt { t.Error("asked again"); return nil })
 	if r[0].outcome != policy.OK {
 		t.Errorf("outcome on the kept connection %v", r[0].outcome)
 	}
 }
 
+// Of several messages in a call that was held up, those that may still leave go; the others were not sent.
+func TestACallHeldUpCarriesWhatMayStillLeave(t *testing.T) {
+	bodies := make(chan string, 1)
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		body, _ := io.ReadAll(req.Body)
+		bodies <- req.URL.Path + " " + string(body)
+		fmt.Fprint(w, `[{"id":"a","state":"ok"},{"id":"c","state":"later"}]`)
+	}))
+	defer s.Close()
+	addr := addrOf(s)
+	not := func(i int) func(*call) []*attempt {
+		return func(c *call) []*attempt { return slices.Delete(slices.Clone(c.attempts), i, i+1) }
+	}
+	r := testHosts(t, testConfig()).do(t.Context(), newCall(addr, "a", "b", "c"), not(1))
+	if r[0].outcome != policy.OK || r[1].outcome != policy.Moot || r[2].outcome != policy.Full {
+		t.Errorf("outcomes %+v", r)
+	}
+	sent := <-bodies
+	if !strings.HasPrefix(sent, "/events/bundle ") || strings.Contains(sent, `"b"`) || !strings.Contains(sent, `"c"`) {
+		t.Errorf("sent %s", sent)
+	}
+	r = testHosts(t, testConfig()).do(t.Context(), newCall(addr, "a", "b"), not(0))
+	if r[0].outcome != policy.Moot || r[1].outcome != policy.OK {
+		t.Errorf("outcomes %+v", r)
+	}
+	if sent := <-bodies; sent != "/events body of b" {
+		t.Errorf("the one that was left: sent %s", sent)
+	}
+}
+
 func TestConnectionsAreKept(t *testing.T) {
 	const calls = 6
 	var opened atomic.Int32
--- a/internal/relay/mgmt_test.go
+++ b/internal/relay/mgmt_test.go
@@ -183,7 +183,7 @@
 	for _, addr := range []string{host, "127.0.0.1:1"} {
 		c := &call{addr: addr, until: time.Now().Add(5 * time.Second)}
 		c.attempts = []*attempt{{call: c, m: m}}
-		h.do(t.Context(), c, func() bool { return true })
+		h.do(t.Context(), c, yes)
 	}
 	if n := m.tally.tries.Load(); n != 1 {
 		t.Errorf("%d tries", n)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -45,8 +45,8 @@
 	}
 	cutOff    struct{ a *attempt }
 	clearance struct {
-		route string
-		reply chan bool
+		call  *call
+		reply chan []*attempt
 	}
 	confirmed struct{ ids []uint32 } // their notices were taken
 	nudge     struct{}               // asks for a step
@@ -533,7 +533,7 @@
 		r.carryOut(nil, fresh)
 	}
 	for _, c := range asked {
-		c.reply <- !r.noSends && r.sender.MayStill(c.route, r.now())
+		c.reply <- r.mayLeave(c.call)
 	}
 	r.figures.active.Store(int64(r.held))
 	r.figures.poolSize.Store(int64(len(r.routes)))
@@ -886,23 +886,34 @@
 	r.calls.Add(1)
 	go func() {
 		defer r.calls.Done()
-		results := r.hosts.do(r.callCtx, c, func() bool { return r.mayStill(c.route) })
+		results := r.hosts.do(r.callCtx, c, r.clear)
 		r.post(&callEnd{c, results})
 	}()
 }
 
-// mayStill asks the loop whether a call that was held up may leave.
-func (r *Relay) mayStill(route string) bool {
-	reply := make(chan bool, 1)
-	if !r.post(clearance{route, reply}) {
-		return false
+// clear asks the loop which attempts of a call that was held up may leave.
+func (r *Relay) clear(c *call) []*attempt {
+	reply := make(chan []*attempt, 1)
+	if !r.post(clearance{c, reply}) {
+		return nil
 	}
 	select {
-	case ok := <-reply:
-		return ok
+	case going := <-reply:
+		return going
 	case <-r.over:
-		return false
+		return nil
+	}
+}
+
+// mayLeave asks the module for each of a call's messages: their terms differ, and so does what each has behind it.
+func (r *Relay) mayLeave(c *call) []*attempt {
+	var going []*attempt
+	for _, a := range c.attempts {
+		if !r.noSends && r.sender.MayStill(a.m.ID, c.route, r.now()) {
+			going = append(going, a)
+		}
 	}
+	return going
 }
 
 // notify queues the notice that ends a message.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -131,6 +131,25 @@
 	})
 }
 
+// What the loop answers a call whose connection came up late is told of each of its messages.
+func TestACallIsClearedMessageByMessage(t *testing.T) {
+	r := newTestRelay(t)
+	c := &call{route: "s-1"}
+	for _, id := range []string{"m1", "m2"} {
+		in := &handIn{m: &wal.Message{Trace: id, Dest: 7, Deadline: time.Now().Add(patience)}, class: r.names.Load().classes["order"],
+			reply: make(chan answer, 1)}
+		r.step([]any{in})
+		c.attempts = append(c.attempts, &attempt{call: c, m: r.msgs[in.m.ID]})
+	}
+	first := c.attempts[0].m
+	r.step([]any{withdrawal{first.ID}})
+	asked := clearance{c, make(chan []*attempt, 1)}
+	r.step([]any{asked})
+	if going := <-asked.reply; len(going) != 1 || going[0] != c.attempts[1] {
+		t.Errorf("%d may leave, want the one that was not withdrawn", len(going))
+	}
+}
+
 // A message that comes once more because its connection closed crosswise is the same message.
 func TestAMessageHandedInTwiceUnderOneIDIsTakenOnce(t *testing.T) {
 	r := newTestRelay(t)
--- a/internal/relay/takeover.go
+++ b/internal/relay/takeover.go
@@ -493,7 +493,7 @@
 			}
 			h.link.send(frame{End: end})
 		case clearance:
-			e.reply <- false // no call leaves here any more
+			e.reply <- nil // no call leaves here any more
 		case reconfigured:
 			r.reconfigure(e.cfg) // for the names that clients use
 		case *handOver:
--- a/policy/duty_test.go
+++ b/policy/duty_test.go
@@ -93,7 +93,7 @@
 			t.Error("sent when it would be cut off")
 		}
 	}
-	if s.MayStill("a", 4*sec+400*time.Millisecond) {
+	if s.MayStill(1, "a", 4*sec+400*time.Millisecond) {
 		t.Error("a call held up may still leave")
 	}
 	if d := doorAt(s, 2*sec+3500*time.Millisecond); !d.Over {
--- a/policy/resume.go
+++ b/policy/resume.go
@@ -32,9 +32,12 @@
 	}
 }
 
-// MayStill tells whether a call to a route that was decided earlier may leave at now. Guards against one that
-// was held up, by a slow connection say, while a drain or a wait was told.
-func (s *Sender) MayStill(route string, now time.Duration) bool {
-	r := s.routes[route]
-	return r != nil && r.InService && now >= r.gate.wait && s.duty.told.Send
+// MayStill tells whether a message may leave for a route at now, though its call was decided earlier. Guards against
+// one that was held up, by a slow connection say, while a drain or a wait was told or repeats stopped being dropped.
+func (s *Sender) MayStill(id uint32, route string, now time.Duration) bool {
+	r, m := s.routes[route], s.msgs[id]
+	if r == nil || !r.InService || now < r.gate.wait || !s.duty.told.Send || m == nil || m.ended {
+		return false
+	}
+	return !m.ran || m.class.Effect == Safe || now < m.windowEnd()
 }
--- a/policy/resume_test.go
+++ b/policy/resume_test.go
@@ -99,22 +99,49 @@
 		t.Fatal(err)
 	}
 	s.Step(time.Second, []Event{twoZones(), {Kind: Taken, ID: 1, Destination: 5, Left: 8 * time.Second}})
-	if !s.MayStill("best", time.Second) || !s.MayStill("other", time.Second) || s.MayStill("none", time.Second) {
+	if !s.MayStill(1, "best", time.Second) || !s.MayStill(1, "other", time.Second) || s.MayStill(1, "none", time.Second) {
 		t.Error("routes in service may be called, others not")
 	}
 	// A wait that comes with a delivery, as in a bundle's answer, binds too.
-	s.Step(2*time.Second, []Event{{Kind: Finished, ID: 1, Route: "best", Outcome: OK, Ended: true, Wait: time.Second}})
-	if s.MayStill("best", 2900*time.Millisecond) || !s.MayStill("best", 3*time.Second) {
+	s.Step(2*time.Second, []Event{{Kind: Finished, ID: 9, Route: "best", Outcome: OK, Ended: true, Wait: time.Second}})
+	if s.MayStill(1, "best", 2900*time.Millisecond) || !s.MayStill(1, "best", 3*time.Second) {
 		t.Error("the wait ends at 3 s")
 	}
 	s.Step(4*time.Second, []Event{{Kind: ListChanges, List: []Listing{
 		{Route: "best", Destination: 5, Zone: 1, Weight: 50}, {Route: "other", Gone: true},
 	}}})
-	if s.MayStill("best", 4*time.Second) || s.MayStill("other", 4*time.Second) {
+	if s.MayStill(1, "best", 4*time.Second) || s.MayStill(1, "other", 4*time.Second) {
 		t.Error("one drains, one is gone")
 	}
 }
 
+// A repeat whose connection came up late must not leave once hosts have stopped dropping repeats, nor what is over.
+func TestARepeatHeldUpLeavesInsideItsWindowOnly(t *testing.T) {
+	s, err := New(resumeSettings(), 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ran := &Resumed{Attempts: 1, Ran: true, RanAgo: 5 * time.Second}
+	s.Step(time.Second, []Event{
+		twoZones(),
+		{Kind: Taken, ID: 1, Destination: 5, Left: 14 * time.Second, Resumed: ran},
+		{Kind: Taken, ID: 2, Destination: 5, Left: 14 * time.Second},
+	})
+	if !s.MayStill(1, "other", 5900*time.Millisecond) {
+		t.Error("a repeat inside the window was held back")
+	}
+	if s.MayStill(1, "other", 6*time.Second) {
+		t.Error("a repeat may leave when repeats are dropped no longer")
+	}
+	if !s.MayStill(2, "other", 6*time.Second) {
+		t.Error("a first try has no window")
+	}
+	s.Step(7*time.Second, []Event{{Kind: Withdrawn, ID: 2}})
+	if s.MayStill(2, "other", 7*time.Second) || s.MayStill(3, "other", 7*time.Second) {
+		t.Error("what is over or unknown may leave")
+	}
+}
+
 // A message that no route may ever take again gets its answer then, not at its deadline.
 func TestSpentMessagesEndAtOnce(t *testing.T) {
 	s, err := New(resumeSettings(), 1)
