Have messages of many senders wait a part of their aim for others in their call

A limit counts calls, and refused ones use it up: a tenth too many leaves nothing for anybody. The calls were 2 to 5 messages full where 10 fit, since a relay with a token called at once for whatever it had.

At fault: Sender.choose, which asked when the route takes a call and never what a call is worth. In large fleets a message now waits for others that may share its call, for a quarter of its aim at most, within which nothing is lost; not if a call is full, was tried before, or carries one message.

--- a/policy/fleet.go
+++ b/policy/fleet.go
@@ -16,6 +16,7 @@
 	singlesStart = 2.0                    // of its part: the pace of singles at the start
 	tightMost    = 2                      // failed connections in a row that a full table explains
 	tightRest    = 300 * time.Millisecond // rest of a route with a full table: about an answer's time
+	gatherShare  = 0.25                   // of its aim: how long a message waits for others to share its call
 	scarceSpan   = 30 * time.Second       // how long a kind whose table was full is short of connections
 )
 
@@ -85,6 +86,16 @@
 	return to
 }
 
+// gathers is until when a message waits for others that may share its call, at most. Inside its aim that costs nothing.
+// Guards against many senders that each call at once for a message or two: calls are what a limit counts, and one beyond
+// it may cost all of them theirs, where refused calls use it up as well.
+func (s *Sender) gathers(m *message, r *route) time.Duration {
+	if s.set.Senders <= fewSenders || m.sends > 0 || !s.bundles(r) || len(m.dest.queue) >= s.together(r) {
+		return 0
+	}
+	return m.due - time.Duration((1-gatherShare)*float64(m.class.Aim))
+}
+
 // holdsNone tells whether no connection to a route is held idle. What many senders hold is missing in the tables
 // of destinations, which have room for calls at work. Where messages share calls, those are few and come steadily:
 // there a connection is kept until the kind turns out to be short of them.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -440,17 +440,6 @@
 	}
 }
 
-// Avoided counts the listed routes that messages pass over: those in the skip table for their failures.
-func (s *Sender) Avoided() int {
-	n := 0
-	for _, r := range s.routes {
-		if r.down {
-			n++
-		}
-	}
-	return n
-}
-
 // alive tells whether a route has answered of late.
 func (s *Sender) alive(r *route) bool { return r.okAt > 0 && s.now-r.okAt < aliveSpan }
 
@@ -477,16 +466,6 @@
 	r.down, r.skipUntil = true, s.now+r.skipLen
 }
 
-// answered learns how long answers of a route take. A time-out tells that its answer takes longer.
-func (s *Sender) answered(r *route, took time.Duration) {
-	if r.mean == 0 {
-		r.mean, r.dev = took, took/2
-		return
-	}
-	d := took - r.mean
-	r.mean, r.dev = r.mean+d/8, r.dev+(max(d, -d)-r.dev)/4
-}
-
 func (s *Sender) delivered(r *route, sent, took time.Duration) {
 	g := r.gate
 	r.okAt, r.okSent, r.streak, r.refusals = s.now, max(r.okSent, sent), 0, 0
@@ -701,7 +680,7 @@
 				at = max(at, m.deadline-(m.deadline-m.due)/2)
 			}
 			if at < math.MaxInt64 {
-				at = max(at, s.opensAt(r))
+				at = max(at, s.opensAt(r), s.gathers(m, r))
 			}
 			if at > s.now {
 				soonest = min(soonest, at)
--- a/policy/size_test.go
+++ b/policy/size_test.go
@@ -229,3 +229,60 @@
 		t.Errorf("pace %.2f after the first success, from %.2f", g.pace, was)
 	}
 }
+
+// gathering plays 300 senders, or fewer, that are each handed four messages for one route, 100 ms apart, and tells how
+// many calls they make in all and when the first leaves.
+func gathering(t *testing.T, senders, perCall int) (calls int, first time.Duration) {
+	t.Helper()
+	set := settings()
+	set.Senders, set.Kinds = senders, []Kind{{Separate: true, PerCall: perCall}}
+	first = math.MaxInt64
+	for range senders {
+		d := newDesk(t, set, Listing{Route: "a", Weight: 100 * float64(senders)}) // paces leave room
+		start := d.now
+		for id := range uint32(30) { // 100 ms each
+			acts := d.step(Event{Kind: Woken})
+			if id < 4 {
+				acts = append(acts, d.take(id+1, 0)...)
+			}
+			if has(acts, Send) {
+				calls++
+				first = min(first, d.now-start)
+			}
+			d.now += 100 * ms
+		}
+	}
+	return calls, first
+}
+
+// 300 senders that each call for one message at once are over a limit that has room for ten times their messages, and
+// where refused calls count as well it serves nobody. Waiting for a part of the aim costs nothing.
+func TestManySendersGatherMessagesForACall(t *testing.T) {
+	if calls, first := gathering(t, 300, 10); calls != 300 || first != 500*ms {
+		t.Errorf("%d calls of 300 senders, the first after %v; want one each, after a quarter of the aim", calls, first)
+	}
+	if calls, first := gathering(t, 300, 2); calls != 600 || first != 100*ms {
+		t.Errorf("%d calls of two messages, the first after %v; want two each, once there are two", calls, first)
+	}
+	if calls, first := gathering(t, 300, 1); calls != 1200 || first != 0 {
+		t.Errorf("%d calls of singles, the first after %v; want them at once", calls, first)
+	}
+	if calls, first := gathering(t, 3, 10); calls != 12 || first != 0 {
+		t.Errorf("%d calls of few senders, the first after %v; want them at once", calls, first)
+	}
+}
+
+// What was tried before has waited enough.
+func TestASecondTryWaitsForNoOthers(t *testing.T) {
+	set := settings()
+	set.Senders, set.Kinds = 300, []Kind{{Separate: true, PerCall: 10}}
+	d := newDesk(t, set, Listing{Route: "a", Weight: 30000}, Listing{Route: "b", Weight: 20000})
+	d.take(1, 0)
+	d.now += 500 * ms
+	if acts := d.step(Event{Kind: Woken}); goesTo(acts) != "a" {
+		t.Fatalf("after a quarter of the aim: %+v", acts)
+	}
+	if acts := d.end(1, "a", Moot, 10*ms, 0); goesTo(acts) == "" {
+		t.Errorf("the second try waits: %+v", acts)
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -431,6 +431,27 @@
 	}
 }
 
+// answered learns how long answers of a route take. A time-out tells that its answer takes longer.
+func (s *Sender) answered(r *route, took time.Duration) {
+	if r.mean == 0 {
+		r.mean, r.dev = took, took/2
+		return
+	}
+	d := took - r.mean
+	r.mean, r.dev = r.mean+d/8, r.dev+(max(d, -d)-r.dev)/4
+}
+
+// Avoided counts the listed routes that messages pass over: those in the skip table for their failures.
+func (s *Sender) Avoided() int {
+	n := 0
+	for _, r := range s.routes {
+		if r.down {
+			n++
+		}
+	}
+	return n
+}
+
 // detach takes the attempt of an outcome off its message; nil if it is not known.
 func (s *Sender) detach(m *message, n int) *call {
 	if m == nil {
