Take limits that fall at two gates for a sign of those not heard of since

Who made those calls: refused messages' calls from relays that the route had not yet told of the lower limit (one each) against those that it had: 39, 64, 65, 59, 51, 16, 7 in the seconds from 6 to 12, against 14 in all. A relay calls a route once in some seconds, so it takes 300 relays five seconds to be told by it, and each finds out by a refused call that uses the limit up.

All relays had been told by other gates long before: half of them by one at 6.65 s and by two at 7.18 s, nine in ten by 8.35 s. At fault: Sender.report, which takes what a gate tells for that gate alone. Two gates that tell within 3 s that their limits fell under 0.7 of the listed rate, or are back, now stand for those not heard of since, until they tell themselves. Reports' noise is 9% there: of 6784 before the fall none lay under 0.7, and one gate alone, at the worst noise that the site has, is no sign.

Ruled out: relays that had been told and went on (14 calls of 315), relimit itself (it halves the pace with the first answer).

--- a/policy/fleet.go
+++ b/policy/fleet.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"cmp"
 	"math"
 	"time"
 )
@@ -14,6 +15,8 @@
 	startShare   = 0.9                    // of its even part of a limit: the pace of one of many at the start
 	toldStep     = 4.0                    // most by which one told limit changes a pace, up or down
 	singlesStart = 2.0                    // of its part: the pace of singles at the start
+	lowShare     = 0.7                    // of its listed limit: told less, noise aside, a gate has lowered it
+	lowSpan      = 3 * time.Second        // in which two gates that tell so tell of others
 	tightMost    = 2                      // failed connections in a row that a full table explains
 	tightRest    = 300 * time.Millisecond // rest of a route with a full table: about an answer's time
 	gatherShare  = 0.25                   // of its aim: how long a message waits for others to share its call
@@ -65,6 +68,31 @@
 	}
 }
 
+// hearsay takes two gates that tell within a short time that their limits fell, or are back, for a sign that those not
+// heard of since did the same, until they tell themselves. Guards against many senders that meet a gate once in seconds
+// and overrun its lowered limit with a call each, before any of them has been told.
+func (s *Sender) hearsay(r *route) {
+	g, was, share := r.gate, s.heard, r.gate.limit/r.Weight
+	trust := r.Weight > 0 && !s.set.NoWeights && !s.set.RoughWeights && s.set.Senders > fewSenders
+	if !trust || g.low == (share < lowShare) {
+		return
+	}
+	g.low = !g.low
+	s.heard = lowering{g, g.low, s.now}
+	if was.gate == nil || was.gate == g || was.low != g.low || s.now > was.at+lowSpan {
+		return
+	}
+	for _, x := range s.gates() {
+		listed := x.routes[0].Weight
+		has := cmp.Or(x.limit, listed)
+		if x.toldAt < was.at && listed > 0 && g.low == (has >= lowShare*listed) {
+			x.limit = has
+			s.relimit(x, listed*min(1, share))
+			x.limit = listed * min(1, share)
+		}
+	}
+}
+
 // spread is over how many calls at the pace refused sparse senders spread. Many are paced from the start: their clumps
 // are short, and what they leave unused of a limit is many times what one does.
 func (s *Sender) spread() float64 {
@@ -86,9 +114,8 @@
 	return to
 }
 
-// gathers is until when a message waits for others that may share its call, at most. Inside its aim that costs nothing.
-// Guards against many senders that each call at once for a message or two: calls are what a limit counts, and one beyond
-// it may cost all of them theirs, where refused calls use it up as well.
+// gathers is until when a message waits for others that may share its call: inside its aim that costs nothing. Guards
+// against many senders that call for a message or two each, and overrun a limit that has room for all they hold.
 func (s *Sender) gathers(m *message, r *route) time.Duration {
 	if s.set.Senders <= fewSenders || m.sends > 0 || !s.bundles(r) || len(m.dest.queue) >= s.together(r) {
 		return 0
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -11,7 +11,6 @@
 	"container/heap"
 	"math"
 	"math/bits"
-	"math/rand/v2"
 	"slices"
 	"time"
 )
@@ -96,20 +95,6 @@
 	{"failed", func(*Sender, *route, sample) bool { return true }, false, nil},
 }
 
-// New returns a Sender that knows nothing but its settings.
-func New(set Settings, seed uint64) (*Sender, error) {
-	if err := set.Check(); err != nil {
-		return nil, err
-	}
-	set.complete()
-	return &Sender{
-		set: set, rng: rand.New(rand.NewPCG(seed, 0x6f6e7978)),
-		routes: map[string]*route{}, least: map[int]float64{}, dests: map[int]*dest{},
-		scarce: map[int]time.Duration{}, msgs: map[uint32]*message{}, turns: map[string]*turn{},
-		shares: make([]bucket, len(set.Customers)), duty: duty{told: open},
-	}, nil
-}
-
 // Step takes what has come in at now and returns what to do, in order.
 func (s *Sender) Step(now time.Duration, events []Event) []Action {
 	s.now, s.acts = now, s.acts[:0]
--- a/policy/size_test.go
+++ b/policy/size_test.go
@@ -286,3 +286,80 @@
 		t.Errorf("the second try waits: %+v", acts)
 	}
 }
+
+// hearer is a sender of many that has been told the listed limits of routes a, b and c, each a destination of its own.
+func hearer(t *testing.T, senders int) (d *desk, tell func(route string, limit float64)) {
+	t.Helper()
+	set := settings()
+	set.Senders, set.Kinds = senders, []Kind{{Separate: true, PerCall: 10}}
+	d = newDesk(t, set, Listing{Route: "a", Destination: 1, Weight: 100}, Listing{Route: "b", Destination: 2, Weight: 60},
+		Listing{Route: "c", Destination: 3, Weight: 30}, Listing{Route: "d", Destination: 4})
+	tell = func(route string, limit float64) {
+		d.now += 100 * ms
+		d.step(Event{Kind: Probed, Route: route, Outcome: OK, Report: Report{Told: true, Left: 0.9, Limit: limit}})
+	}
+	tell("a", 100)
+	tell("b", 60)
+	tell("c", 30)
+	tell("d", 20)
+	d.now += 10 * time.Second
+	for _, r := range d.s.routes {
+		r.gate.pace = 1 // what became of it does not matter here
+	}
+	return d, tell
+}
+
+// Limits fall together. A sender of 300 meets a route once in seconds: 300 calls at a limit of 29 a second were refused,
+// one of each sender, in the five seconds that it took them all to be told by that route itself.
+func TestLoweredLimitsAreHeardOfElsewhere(t *testing.T) {
+	d, tell := hearer(t, 300)
+	c := d.s.routes["c"].gate
+	tell("a", 50)
+	tell("a", 48)
+	if c.pace != 1 || c.limit != 30 {
+		t.Fatalf("one gate alone tells of no other: pace %v, limit %v", c.pace, c.limit)
+	}
+	tell("b", 30)
+	if math.Abs(c.pace-0.5) > 0.01 || c.limit != 15 {
+		t.Errorf("two gates at half their limits: pace %v, limit %v of the third; want half", c.pace, c.limit)
+	}
+	if x := d.s.routes["d"].gate; x.limit != 20 {
+		t.Errorf("a gate with no listed limit has %v", x.limit)
+	}
+	// What it tells itself counts, and is no word about others.
+	tell("c", 30)
+	if c.pace < 0.99 || c.limit != 30 || d.s.routes["b"].gate.limit != 30 {
+		t.Errorf("told otherwise itself: pace %v, limit %v", c.pace, c.limit)
+	}
+}
+
+func TestLimitsThatReturnAreHeardOfElsewhere(t *testing.T) {
+	d, tell := hearer(t, 300)
+	tell("a", 50)
+	tell("b", 30)
+	tell("c", 15)
+	c := d.s.routes["c"].gate
+	low := c.pace
+	d.now += 5 * time.Second
+	tell("a", 100)
+	tell("b", 60)
+	if math.Abs(c.pace-2*low) > 0.1*low || c.limit != 30 {
+		t.Errorf("pace %v, limit %v; want twice %v, and the listed 30", c.pace, c.limit, low)
+	}
+}
+
+func TestWhatIsFarApartOrOfFewSendersIsNoSign(t *testing.T) {
+	d, tell := hearer(t, 300)
+	tell("a", 50)
+	d.now += 2 * lowSpan
+	tell("b", 30)
+	if c := d.s.routes["c"].gate; c.limit != 30 {
+		t.Errorf("limits that fell far apart: limit %v of the third", c.limit)
+	}
+	d, tell = hearer(t, 3)
+	tell("a", 50)
+	tell("b", 30)
+	if c := d.s.routes["c"].gate; c.limit != 30 {
+		t.Errorf("of three senders: limit %v of the third", c.limit)
+	}
+}
--- a/policy/snapshot.go
+++ b/policy/snapshot.go
@@ -107,7 +107,7 @@
 func (g *gate) fields() record {
 	return record{"wait": &g.wait, "pace": &g.pace, "ceiling": &g.ceiling, "halvedAt": &g.halvedAt,
 		"creptAt": &g.creptAt, "tokens": &g.tokens, "tokensAt": &g.tokensAt, "sent": &g.sent, "credit": &g.credit,
-		"coldAt": &g.coldAt, "coldLeft": &g.coldLeft, "limit": &g.limit, "left": &g.left, "got": &g.got, "gotAt": &g.gotAt,
+		"coldAt": &g.coldAt, "coldLeft": &g.coldLeft, "limit": &g.limit, "left": &g.left, "low": &g.low, "toldAt": &g.toldAt, "got": &g.got, "gotAt": &g.gotAt,
 		"streak": &g.streak, "tights": &g.tights}
 }
 
--- a/policy/state.go
+++ b/policy/state.go
@@ -31,6 +31,8 @@
 	coldLeft time.Duration // when a route in doubt last left the list; long ago if none
 	limit    float64       // reported, calls a second
 	left     float64       // share of it that was left, as reported last
+	low      bool          // the limit that was reported is far under the listed one
+	toldAt   time.Duration // when it was
 	got      float64       // own deliveries a second, in the mean, as of gotAt
 	gotAt    time.Duration
 	out      int // calls out
@@ -62,6 +64,13 @@
 	usual     time.Duration // mean of the answers that came
 }
 
+// lowering is a limit that fell or returned, as a gate told it.
+type lowering struct {
+	gate *gate
+	low  bool
+	at   time.Duration
+}
+
 // dest is a destination with its queue.
 type dest struct {
 	id     int
@@ -141,6 +150,7 @@
 	turns    map[string]*turn
 	least    map[int]float64       // by kind: the least limit told
 	scarce   map[int]time.Duration // by kind: connections are scarce until then
+	heard    lowering              // what a gate told last of its limit's fall or return
 	held     int
 	slots    int // used
 	shares   []bucket
@@ -151,6 +161,20 @@
 	acts     []Action
 }
 
+// New returns a Sender that knows nothing but its settings.
+func New(set Settings, seed uint64) (*Sender, error) {
+	if err := set.Check(); err != nil {
+		return nil, err
+	}
+	set.complete()
+	return &Sender{
+		set: set, rng: rand.New(rand.NewPCG(seed, 0x6f6e7978)),
+		routes: map[string]*route{}, least: map[int]float64{}, dests: map[int]*dest{},
+		scarce: map[int]time.Duration{}, msgs: map[uint32]*message{}, turns: map[string]*turn{},
+		shares: make([]bucket, len(set.Customers)), duty: duty{told: open},
+	}, nil
+}
+
 // list takes on the list of routes. A route that drains or is gone takes nothing new from here on.
 func (s *Sender) list(entries []Listing, whole bool) {
 	if s.set.AskList && whole && len(s.order) == 0 {
@@ -227,6 +251,19 @@
 // touch has a destination looked at again by the next dispatch.
 func (s *Sender) touch(d *dest) { d.opens = 0 }
 
+// gates are all that have a route, in a fixed order.
+func (s *Sender) gates() []*gate {
+	var all []*gate
+	for _, d := range s.order {
+		for _, g := range d.gates {
+			if len(g.routes) > 0 {
+				all = append(all, g)
+			}
+		}
+	}
+	return all
+}
+
 // doubtful tells whether a route of the gate is in doubt.
 func (g *gate) doubtful() bool {
 	return slices.ContainsFunc(g.routes, func(x *route) bool { return x.cold })
@@ -424,7 +461,8 @@
 func (s *Sender) report(r *route, rep Report) {
 	if rep.Told && rep.Limit > 0 && rep.Limit < mostLimit {
 		s.relimit(r.gate, rep.Limit)
-		r.gate.limit, r.gate.left = rep.Limit, rep.Left
+		r.gate.limit, r.gate.left, r.gate.toldAt = rep.Limit, rep.Left, s.now
+		s.hearsay(r)
 		if least := s.least[r.Kind]; least == 0 || rep.Limit < least {
 			s.least[r.Kind] = rep.Limit
 		}
