--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -372,6 +372,9 @@
 			evs = append(evs, r.resumed(m))
 		}
 	}
+	if found.Unreadable > 0 {
+		r.log.Warn("a part of the journal was unreadable and is passed over", "bytes", found.Unreadable)
+	}
 	if len(found.Messages) > 0 || found.Damaged {
 		r.log.Info("recovered", "messages", len(found.Messages), "damaged", found.Damaged)
 	}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -131,6 +132,45 @@
 	})
 }
 
+// A journal that is not the relay's own, or torn, is no reason not to serve; staff are told of it, once.
+func TestAForeignJournalIsSaidOnceAndPassedOver(t *testing.T) {
+	cfg := newTestRelay(t).cfg
+	cfg.StateDir = t.TempDir()
+	foreign := bytes.Repeat([]byte("not a log of ours\n"), 1000)
+	if err := os.WriteFile(filepath.Join(cfg.StateDir, "wal.log"), foreign, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	start := func() (r *Relay, logged string) {
+		var out bytes.Buffer
+		r, err := New(cfg, slog.New(slog.NewTextHandler(&out, nil)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.callCtx = t.Context()
+		r.resume()
+		return r, out.String()
+	}
+	r, logged := start()
+	if n := strings.Count(logged, "journal was unreadable"); n != 1 || !strings.Contains(logged, fmt.Sprintf("bytes=%d", len(foreign))) {
+		t.Errorf("said %d times: %s", n, logged)
+	}
+	in := &handIn{m: &wal.Message{Trace: "m1", Dest: 7, Deadline: time.Now().Add(patience)}, class: r.names.Load().classes["order"],
+		reply: make(chan answer, 1)}
+	r.step([]any{in})
+	if a := <-in.reply; a.status != http.StatusAccepted {
+		t.Errorf("a message was answered %d", a.status)
+	}
+	r.calls.Wait()
+	if err := r.leaveLog(); err != nil {
+		t.Fatal(err)
+	}
+	again, logged := start()
+	if strings.Contains(logged, "unreadable") || len(again.msgs) != 1 {
+		t.Errorf("%d messages found after it, and said: %s", len(again.msgs), logged)
+	}
+	again.calls.Wait()
+}
+
 // What the loop answers a call whose connection came up late is told of each of its messages.
 func TestACallIsClearedMessageByMessage(t *testing.T) {
 	r := newTestRelay(t)
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -70,6 +70,8 @@
 	Messages []*Message // unfinished, in the order in which they were taken on
 	// Damaged tells that records before the last were unreadable: a message's sends may be missing from it.
 	Damaged bool
+	// Unreadable is how many bytes no record could be read from: damage, a torn tail, or a file that is not the log's.
+	Unreadable int64
 }
 
 // The kinds of record.
@@ -134,7 +136,7 @@
 	if err != nil && !errors.Is(err, os.ErrNotExist) {
 		return nil, Recovery{}, fmt.Errorf("wal: %w", err)
 	}
-	good, damaged := l.replay(data)
+	good, unreadable, damaged := l.replay(data)
 	l.file, err = os.OpenFile(path, os.O_RDWR|os.O_CREATE, 0o600)
 	if err != nil {
 		return nil, Recovery{}, fmt.Errorf("wal: %w", err)
@@ -145,7 +147,7 @@
 		return nil, Recovery{}, fmt.Errorf("wal: drop a torn tail: %w", err)
 	}
 	l.size = good
-	return l, Recovery{Messages: l.messages(), Damaged: damaged}, nil
+	return l, Recovery{Messages: l.messages(), Damaged: damaged, Unreadable: unreadable}, nil
 }
 
 // Close writes what is noted and closes the file.
@@ -355,12 +357,13 @@
 }
 
 // replay applies the records in data. It passes over what it cannot read and returns the end of the last good
-// record, and whether unreadable bytes stood before it.
-func (l *Log) replay(data []byte) (good int64, damaged bool) {
+// record, how many bytes it passed over, and whether some of them stood before that end.
+func (l *Log) replay(data []byte) (good, unreadable int64, damaged bool) {
 	for at := 0; at < len(data); {
 		rec, body, n := readRecord(data[at:])
 		if n == 0 {
 			at++ // look for the next record: a damaged one must not hide those behind it
+			unreadable++
 			continue
 		}
 		if int64(at) != good {
@@ -370,7 +373,7 @@
 		good = int64(at)
 		l.apply(rec, body)
 	}
-	return good, damaged
+	return good, unreadable, damaged
 }
 
 func (l *Log) apply(rec record, body []byte) {
--- a/internal/wal/wal_test.go
+++ b/internal/wal/wal_test.go
@@ -108,8 +108,8 @@
 		dir := t.TempDir()
 		must(t, os.WriteFile(filepath.Join(dir, name), data[:cut], 0o600))
 		l, found := open(t, dir, roomy)
-		if got := ids(found); got != "1 " || found.Damaged {
-			t.Fatalf("cut at %d: found %q, damaged %v", cut, got, found.Damaged)
+		if got := ids(found); got != "1 " || found.Damaged || found.Unreadable != cut-keep {
+			t.Fatalf("cut at %d: found %q, damaged %v, %d bytes unreadable", cut, got, found.Damaged, found.Unreadable)
 		}
 		must(t, l.Accept(message(3)))
 		if _, found := open(t, dir, roomy); ids(found) != "1 3 " {
