--- a/cmd/cherrytrestle/main.go
+++ b/cmd/cherrytrestle/main.go
@@ -13,7 +13,7 @@
 	"runtime/debug"
 	"syscall"
 
-	"onyxroad.dev/onyxroad/internal/relay"
+	"wallflow/internal/relay"
 )
 
 // heapShare is the part of the memory limit that the heap may grow to; the rest is for stacks, the program
--- a/cmd/drill/main.go
+++ b/cmd/drill/main.go
@@ -8,8 +8,8 @@
 	"os"
 	"time"
 
-	"onyxroad.dev/onyxroad/internal/wire"
-	"onyxroad.dev/onyxroad/policy"
+	"wallflow/internal/wire"
+	"wallflow/policy"
 )
 
 func main() {
--- a/internal/relay/clients.go
+++ b/internal/relay/clients.go
@@ -12,8 +12,8 @@
 	"strings"
 	"time"
 
-	"onyxroad.dev/onyxroad/internal/wal"
-	"onyxroad.dev/onyxroad/policy"
+	"wallflow/internal/wal"
+	"wallflow/policy"
 )
 
 const (
--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -10,8 +10,8 @@
 	"strings"
 	"time"
 
-	"onyxroad.dev/onyxroad/internal/wire"
-	"onyxroad.dev/onyxroad/policy"
+	"wallflow/internal/wire"
+	"wallflow/policy"
 )
 
 // tickMost bounds the tick, so that no setting makes clients wait for their answers.
--- a/internal/relay/discovery.go
+++ b/internal/relay/discovery.go
@@ -14,7 +14,7 @@
 	"sync"
 	"time"
 
-	"onyxroad.dev/onyxroad/policy"
+	"wallflow/policy"
 )
 
 const (
--- a/internal/relay/discovery_test.go
+++ b/internal/relay/discovery_test.go
@@ -11,7 +11,7 @@
 	"testing/synctest"
 	"time"
 
-	"onyxroad.dev/onyxroad/policy"
+	"wallflow/policy"
 )
 
 // tripper answers a request without a socket.
--- a/internal/relay/door.go
+++ b/internal/relay/door.go
@@ -12,7 +12,7 @@
 	"syscall"
 	"time"
 
-	"onyxroad.dev/onyxroad/policy"
+	"wallflow/policy"
 )
 
 const (
--- a/internal/relay/hosts.go
+++ b/internal/relay/hosts.go
@@ -19,7 +19,7 @@
 	"sync/atomic"
 	"time"
 
-	"onyxroad.dev/onyxroad/policy"
+	"wallflow/policy"
 )
 
 // idleShare is the share of the hosts' keep-alive limit after which the relay closes an idle connection itself.
--- a/internal/relay/hosts_test.go
+++ b/internal/relay/hosts_test.go
@@ -18,8 +18,8 @@
 	"testing"
 	"time"
 
-	"onyxroad.dev/onyxroad/internal/wal"
-	"onyxroad.dev/onyxroad/policy"
+	"wallflow/internal/wal"
+	"wallflow/policy"
 )
 
 const patience = 10 * time.Second // longer than any condition takes
--- a/internal/relay/link.go
+++ b/internal/relay/link.go
@@ -11,8 +11,8 @@
 	"syscall"
 	"time"
 
-	"onyxroad.dev/onyxroad/internal/wal"
-	"onyxroad.dev/onyxroad/policy"
+	"wallflow/internal/wal"
+	"wallflow/policy"
 )
 
 // What two processes of one relay say to each other: a Unix socket in the folder that lasts, JSON on it, and the
--- a/internal/relay/link_test.go
+++ b/internal/relay/link_test.go
@@ -11,7 +11,7 @@
 	"testing"
 	"time"
 
-	"onyxroad.dev/onyxroad/policy"
+	"wallflow/policy"
 )
 
 // Where Unix sockets are refused the relay serves all the same, and says once that none can take over.
--- a/internal/relay/mgmt.go
+++ b/internal/relay/mgmt.go
@@ -12,7 +12,7 @@
 	"sync"
 	"time"
 
-	"onyxroad.dev/onyxroad/policy"
+	"wallflow/policy"
 )
 
 const (
--- a/internal/relay/mgmt_test.go
+++ b/internal/relay/mgmt_test.go
@@ -12,8 +12,8 @@
 	"testing/synctest"
 	"time"
 
-	"onyxroad.dev/onyxroad/internal/wal"
-	"onyxroad.dev/onyxroad/policy"
+	"wallflow/internal/wal"
+	"wallflow/policy"
 )
 
 // manageTest serves a management address whose relay's loop does not run.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -17,8 +17,8 @@
 	"sync/atomic"
 	"time"
 
-	"onyxroad.dev/onyxroad/internal/wal"
-	"onyxroad.dev/onyxroad/policy"
+	"wallflow/internal/wal"
+	"wallflow/policy"
 )
 
 const (
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -18,9 +18,9 @@
 	"testing"
 	"time"
 
-	"onyxroad.dev/onyxroad/internal/wal"
-	"onyxroad.dev/onyxroad/internal/wire"
-	"onyxroad.dev/onyxroad/policy"
+	"wallflow/internal/wal"
+	"wallflow/internal/wire"
+	"wallflow/policy"
 )
 
 const settingsJSON = `{"bounds":{"cancel":true,"connect_timeout_ms":1500.0,"keepalive_ms":15000.0,"max_retry_after_ms":3000.0,
--- a/internal/relay/settings.go
+++ b/internal/relay/settings.go
@@ -7,8 +7,8 @@
 	"math"
 	"slices"
 
-	"onyxroad.dev/onyxroad/internal/wal"
-	"onyxroad.dev/onyxroad/policy"
+	"wallflow/internal/wal"
+	"wallflow/policy"
 )
 
 // class is a class of message as clients name it, with the terms that its messages are taken on under.
--- a/internal/relay/settings_test.go
+++ b/internal/relay/settings_test.go
@@ -9,7 +9,7 @@
 	"strings"
 	"testing"
 
-	"onyxroad.dev/onyxroad/policy"
+	"wallflow/policy"
 )
 
 // configText is a whole configuration; edit may spoil it.
--- a/internal/relay/takeover.go
+++ b/internal/relay/takeover.go
@@ -10,8 +10,8 @@
 	"net/http"
 	"time"
 
-	"onyxroad.dev/onyxroad/internal/wal"
-	"onyxroad.dev/onyxroad/policy"
+	"wallflow/internal/wal"
+	"wallflow/policy"
 )
 
 // One relay in two processes while the one replaces the other. At any moment one of them decides, and that one holds
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -6,7 +6,7 @@
 	"strings"
 	"time"
 
-	"onyxroad.dev/onyxroad/policy"
+	"wallflow/policy"
 )
 
 // pairs are the path=value pairs of a CONFIGURE line.
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -11,7 +11,7 @@
 	"strings"
 	"time"
 
-	"onyxroad.dev/onyxroad/policy"
+	"wallflow/policy"
 )
 
 // ItemKind names what an Item of a batch is.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"onyxroad.dev/onyxroad/policy"
+	"wallflow/policy"
 )
 
 const configure = "CONFIGURE 3 77 services.count=1 services.0.semantics=read_like services.0.goal_time_ms=2000.0 " +
--- a/policy/example_test.go
+++ b/policy/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"onyxroad.dev/onyxroad/policy"
+	"wallflow/policy"
 )
 
 // A relay takes one message for destination 7, whose first route answers that it is full.
