--- a/internal/relay/clients.go
+++ b/internal/relay/clients.go
@@ -213,5 +213,5 @@
 			return n, nil
 		}
 	}
-	return 0, errors.New("Envelope names no dest")
+	return 0, errors.New("no dest in Envelope")
 }
