Add the wallflow command: trials of real relays with faults between them

Scenarios: relay-kill, relay-freeze, partner-outage, agent-silent, take-over, mass-kill, and berth to watch. Exit codes: 0 held, 1 broken, 2 not played.

--- /dev/null
+++ b/cmd/wallflow/main.go
@@ -0,0 +1,167 @@
+// Command wallflow is the product's command for people: it plays trials and, with them, shows what the relays do when
+// something fails around them.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"strings"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"wallflow/internal/tomlfile"
+	"wallflow/internal/units"
+)
+
+// Exit codes.
+const (
+	exitHeld   = 0
+	exitBroken = 1 // an invariant broke
+	exitWrong  = 2 // wrong use, or what was asked for could not be done
+)
+
+// errBroken tells that an invariant broke; what and where was said already.
+var errBroken = errors.New("an invariant broke")
+
+func main() { os.Exit(run(os.Args[1:], os.Stdin, os.Stdout, os.Stderr)) }
+
+// run is the whole program but for the process around it.
+func run(args []string, in io.Reader, out, errOut io.Writer) int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
+	defer stop()
+	root := newRoot()
+	root.SetArgs(args)
+	root.SetIn(in)
+	root.SetOut(out)
+	root.SetErr(errOut)
+	err := root.ExecuteContext(ctx)
+	switch {
+	case err == nil:
+		return exitHeld
+	case errors.Is(err, errBroken):
+		return exitBroken
+	}
+	fmt.Fprintln(errOut, "wallflow:", err)
+	return exitWrong
+}
+
+// settings are what the configuration file may hold. A flag goes before it.
+type settings struct {
+	Log struct {
+		Format string // text or json
+		Level  string // debug, info, warn or error
+	}
+	Trial struct {
+		Relay string // the relay's program
+		Load  string
+		For   units.Duration
+		Dir   string
+	}
+}
+
+// app is what all subcommands share.
+type app struct {
+	settings
+	configFile string
+	log        *slog.Logger
+}
+
+func newRoot() *cobra.Command {
+	a := &app{}
+	root := &cobra.Command{
+		Use:   "wallflow",
+		Short: "Plays trials of the message relay: real processes with faults between them",
+		Long: `wallflow is the product's command.
+
+Exit codes: 0 all held, 1 an invariant broke, 2 wrong use or what was asked for could not be done.`,
+		Example: `  wallflow trial run berth
+  wallflow trial list
+  wallflow version`,
+		SilenceUsage: true, SilenceErrors: true,
+		PersistentPreRunE: func(cmd *cobra.Command, _ []string) error { return a.prepare(cmd) },
+	}
+	f := root.PersistentFlags()
+	f.StringVar(&a.configFile, "config", os.Getenv("WALLFLOW_CONFIG"), "configuration file (TOML); also WALLFLOW_CONFIG")
+	f.StringVar(&a.Log.Format, "log-format", "text", "form of the log: text or json")
+	f.StringVar(&a.Log.Level, "log-level", "info", "least level that is logged: debug, info, warn or error")
+	root.SetFlagErrorFunc(func(cmd *cobra.Command, err error) error {
+		return fmt.Errorf("%w; see `%s --help`", err, cmd.CommandPath())
+	})
+	root.CompletionOptions.HiddenDefaultCmd = true
+	root.AddCommand(newVersion(), newTrial(a))
+	return root
+}
+
+// prepare reads the configuration, which flags go before, and sets the log up.
+func (a *app) prepare(cmd *cobra.Command) error {
+	if a.configFile != "" {
+		var file settings
+		if err := tomlfile.Read(a.configFile, &file); err != nil {
+			return fmt.Errorf("configuration: %w", err)
+		}
+		a.take(cmd, file)
+	}
+	var level slog.Level
+	if err := level.UnmarshalText([]byte(a.Log.Level)); err != nil {
+		return fmt.Errorf("log level %q: wanted is debug, info, warn or error", a.Log.Level)
+	}
+	o := &slog.HandlerOptions{Level: level}
+	switch a.Log.Format {
+	case "text":
+		a.log = slog.New(slog.NewTextHandler(cmd.ErrOrStderr(), o))
+	case "json":
+		a.log = slog.New(slog.NewJSONHandler(cmd.ErrOrStderr(), o))
+	default:
+		return fmt.Errorf("log format %q: wanted is text or json", a.Log.Format)
+	}
+	return nil
+}
+
+// take puts the file's values where no flag was given.
+func (a *app) take(cmd *cobra.Command, file settings) {
+	for flag, to := range map[string][2]*string{
+		"log-format": {&a.Log.Format, &file.Log.Format}, "log-level": {&a.Log.Level, &file.Log.Level},
+		"relay": {&a.Trial.Relay, &file.Trial.Relay}, "load": {&a.Trial.Load, &file.Trial.Load}, "dir": {&a.Trial.Dir, &file.Trial.Dir},
+	} {
+		if *to[1] != "" && !cmd.Flags().Changed(flag) {
+			*to[0] = *to[1]
+		}
+	}
+	if file.Trial.For.Duration > 0 && !cmd.Flags().Changed("for") {
+		a.Trial.For = file.Trial.For
+	}
+}
+
+func newVersion() *cobra.Command {
+	return &cobra.Command{
+		Use:   "version",
+		Short: "Prints the version of this build",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			fmt.Fprintln(cmd.OutOrStdout(), version())
+			return nil
+		},
+	}
+}
+
+// version is what the build says of itself.
+func version() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "wallflow, of no known build"
+	}
+	parts := []string{"wallflow", info.Main.Version, info.GoVersion}
+	for _, s := range info.Settings {
+		if s.Key == "vcs.revision" {
+			parts = append(parts, s.Value)
+		}
+	}
+	return strings.Join(parts, " ")
+}
--- /dev/null
+++ b/internal/trial/scenario.go
@@ -0,0 +1,184 @@
+package trial
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"wallflow/internal/units"
+)
+
+// Scenario is a kind of trial: what is done to a fleet, drawn from a seed.
+type Scenario struct {
+	Name  string
+	About string
+	Steps func(rng *rand.Rand, g *Ground, lasting time.Duration) []Step
+}
+
+// Scenarios are all that the program has, by name.
+func Scenarios() []*Scenario {
+	all := []*Scenario{
+		{"calm", "nothing is done to anybody: what the ground and the relays cost by themselves", func(*rand.Rand, *Ground, time.Duration) []Step { return nil }},
+		{"berth", "a vessel's peak, with a slow partner and one that goes away: a trial to watch", berth},
+		{"relay-kill", "relays are killed at random moments, some while they compact their journals, and start again with their folders", relayKill},
+		{"relay-freeze", "relays are stopped for longer than messages have, and go on", relayFreeze},
+		{"partner-outage", "all endpoints of a partner go away, by one of several ways, and come back cold, seen by all relays", partnerOutage},
+		{"agent-silent", "discovery says nothing while endpoints drain and go", agentSilent},
+		{"take-over", "successors take relays over during load; either process is killed or frozen at each step", takeOver},
+		{"mass-kill", "seven in ten relays are killed at once, three in ten again later", massKill},
+	}
+	return all
+}
+
+// Find returns a scenario by its name.
+func Find(name string) (*Scenario, error) {
+	var names []string
+	for _, s := range Scenarios() {
+		if s.Name == name {
+			return s, nil
+		}
+		names = append(names, s.Name)
+	}
+	return nil, fmt.Errorf("scenario %q: there is none of that name; there are %v", name, names)
+}
+
+func span(d time.Duration) units.Duration { return units.Duration{Duration: d.Round(time.Millisecond)} }
+
+// at draws a moment between two shares of the trial.
+func at(rng *rand.Rand, lasting time.Duration, from, to float64) time.Duration {
+	return time.Duration((from + rng.Float64()*(to-from)) * float64(lasting))
+}
+
+// long draws a time between two.
+func long(rng *rand.Rand, from, to time.Duration) time.Duration {
+	return from + time.Duration(rng.Float64()*float64(to-from))
+}
+
+// some draws a share of the relays, one at least.
+func (g *Ground) some(rng *rand.Rand, share float64) []string {
+	n := max(1, int(share*float64(len(g.relays))+0.5))
+	var names []string
+	for _, i := range rng.Perm(len(g.relays))[:n] {
+		names = append(names, g.relays[i].Name)
+	}
+	return names
+}
+
+// partner draws one, the busier the likelier, and returns its endpoints.
+func (g *Ground) partner(rng *rand.Rand) (all []string) {
+	x := rng.Float64()
+	last := g.world.Partners[len(g.world.Partners)-1]
+	for _, p := range g.world.Partners {
+		if x -= p.Share; x < 0 {
+			last = p
+			break
+		}
+	}
+	for _, e := range last.Endpoints {
+		all = append(all, e.ID)
+	}
+	return all
+}
+
+func inOrder(steps []Step) []Step {
+	slices.SortStableFunc(steps, func(a, b Step) int { return int(a.At.Duration - b.At.Duration) })
+	return steps
+}
+
+func berth(rng *rand.Rand, g *Ground, lasting time.Duration) []Step {
+	away := g.partner(rng)
+	return inOrder([]Step{
+		{At: span(at(rng, lasting, 0.2, 0.3)), Do: "slow", On: g.partner(rng)[:1], For: span(lasting / 4), Size: 5},
+		{At: span(at(rng, lasting, 0.55, 0.6)), Do: "down", On: away, For: span(lasting / 8)},
+		{At: span(at(rng, lasting, 0.3, 0.4)), Do: "restart", On: g.some(rng, 0.1), For: span(200 * time.Millisecond)},
+	})
+}
+
+func relayKill(rng *rand.Rand, g *Ground, lasting time.Duration) (steps []Step) {
+	kills := max(3, int(lasting.Seconds()/2))
+	for i := range kills {
+		do := "kill"
+		if i%3 == 2 {
+			do = "kill-compacting"
+		}
+		steps = append(steps, Step{At: span(at(rng, lasting, 0.1, 0.85)), Do: do, On: g.some(rng, 0.2), For: span(long(rng, 50*time.Millisecond, 900*time.Millisecond))})
+	}
+	return inOrder(steps)
+}
+
+func relayFreeze(rng *rand.Rand, g *Ground, lasting time.Duration) (steps []Step) {
+	longest := g.load.Longest().Duration
+	for _, from := range []float64{0.1, 0.35, 0.55} {
+		// Longer than messages have where the trial is long enough for it, and short ones beside.
+		most := min(longest+time.Second, time.Duration((0.9-from)*float64(lasting)))
+		steps = append(steps,
+			Step{At: span(at(rng, lasting, from, from+0.05)), Do: "freeze", On: g.some(rng, 0.15), For: span(most)},
+			Step{At: span(at(rng, lasting, from+0.05, from+0.15)), Do: "freeze", On: g.some(rng, 0.2), For: span(long(rng, 100*time.Millisecond, time.Second))})
+	}
+	return inOrder(steps)
+}
+
+func partnerOutage(rng *rand.Rand, g *Ground, lasting time.Duration) (steps []Step) {
+	ways := []string{"down", "vanish", "hang", "shut", "break", "slow", "fail"}
+	rng.Shuffle(len(ways), func(i, j int) { ways[i], ways[j] = ways[j], ways[i] })
+	n := max(2, min(len(ways), int(lasting.Seconds()/4)))
+	for i, do := range ways[:n] {
+		from := 0.08 + 0.75*float64(i)/float64(n)
+		s := Step{At: span(at(rng, lasting, from, from+0.05)), Do: do, On: g.partner(rng), For: span(max(time.Second, lasting/8))}
+		switch do {
+		case "slow":
+			s.Size = 6 + rng.Float64()*18
+		case "fail":
+			s.Size = 0.5 + rng.Float64()*0.5
+		}
+		steps = append(steps, s)
+	}
+	lowered := Step{At: span(at(rng, lasting, 0.3, 0.6)), Do: "lower", On: g.partner(rng), For: span(lasting / 5), Size: 0.3 + rng.Float64()*0.4}
+	return inOrder(append(steps, lowered))
+}
+
+func agentSilent(rng *rand.Rand, g *Ground, lasting time.Duration) []Step {
+	quiet := g.some(rng, 0.5)
+	var ends []string
+	for _, p := range g.world.Partners { // one endpoint each of a third of the partners, never the last
+		if len(p.Endpoints) > 1 && rng.Float64() < 0.4 {
+			ends = append(ends, p.Endpoints[rng.IntN(len(p.Endpoints))].ID)
+		}
+	}
+	if len(ends) == 0 {
+		ends = []string{g.world.Partners[0].Endpoints[0].ID}
+	}
+	steps := []Step{
+		{At: span(at(rng, lasting, 0.08, 0.12)), Do: "silence", On: quiet, For: span(lasting * 4 / 10)},
+		{At: span(at(rng, lasting, 0.15, 0.2)), Do: "drain", On: ends[:(len(ends)+1)/2], For: span(lasting / 5)},
+		{At: span(at(rng, lasting, 0.25, 0.3)), Do: "kill", On: quiet[:1], For: span(300 * time.Millisecond)},
+		{At: span(at(rng, lasting, 0.7, 0.75)), Do: "move", On: g.some(rng, 0.5)},
+	}
+	if rest := ends[(len(ends)+1)/2:]; len(rest) > 0 {
+		steps = append(steps, Step{At: span(at(rng, lasting, 0.55, 0.6)), Do: "drain", On: rest, For: span(lasting / 6)})
+	}
+	return inOrder(steps)
+}
+
+func takeOver(rng *rand.Rand, g *Ground, lasting time.Duration) (steps []Step) {
+	// Each way once at least, over the relays in turn; a relay's steps wait for each other.
+	order := rng.Perm(len(Hurts))
+	names := g.some(rng, 1)
+	rounds := max(1, int(lasting.Seconds()/20))
+	for round := range rounds {
+		for i, way := range order {
+			from := 0.05 + 0.6*(float64(round)+float64(i)/float64(len(order)))/float64(rounds)
+			steps = append(steps, Step{At: span(at(rng, lasting, from, from+0.05)), Do: "succeed", On: names[(round*len(order)+i)%len(names):][:1],
+				For: span(long(rng, 100*time.Millisecond, 1500*time.Millisecond)), Note: Hurts[way]})
+		}
+	}
+	return inOrder(steps)
+}
+
+func massKill(rng *rand.Rand, g *Ground, lasting time.Duration) []Step {
+	return []Step{
+		{At: span(at(rng, lasting, 0.25, 0.3)), Do: "kill", On: g.some(rng, 0.7), For: span(long(rng, 600*time.Millisecond, 2*time.Second))},
+		{At: span(at(rng, lasting, 0.7, 0.75)), Do: "kill", On: g.some(rng, 0.3), For: span(long(rng, 300*time.Millisecond, time.Second))},
+	}
+}
