--- a/cmd/cherrytrestle/main.go
+++ b/cmd/cherrytrestle/main.go
@@ -1,11 +1,13 @@
 // Command cherrytrestle is the relay: it takes messages from clients and delivers each by a call to a host of
-// its destination. The environment tells it all; see package relay.
+// its destination. The environment tells it all; see package relay. Arguments only ask what the program is.
 package main
 
 import (
 	"context"
 	"errors"
+	"flag"
 	"fmt"
+	"io"
 	"log/slog"
 	"os"
 	"os/signal"
@@ -20,7 +22,63 @@
 // itself and the files of the log.
 const heapShare = 0.7
 
+const usage = `cherrytrestle is the message relay of one client process. It takes no arguments but these:
+
+  --help     print this
+  --version  print the version of this build
+
+It is told all by the environment:
+
+  ROUTER_CONFIG     file that holds the configuration, as JSON (wanted)
+  ROUTER_STATE      folder that lasts, which holds the journal (wanted)
+  ROUTER_LISTEN     address where clients connect, such as 127.0.0.1:3000; or "listen" in the file
+  ROUTER_DISCOVERY  address of discovery's agent; the file's "discovery" goes before it
+  ROUTER_NAME       the relay's name; or "name" in the file
+  ROUTER_MGMT       address where operators ask; or "mgmt" in the file; may be left out
+
+SIGTERM drains the relay and ends it, SIGHUP makes it read the file again. A relay to try, with all that it needs
+around it: bin/wallflow trial run berth
+`
+
+// answerAbout answers arguments, which ask about the program; start tells that there were none. An argument that is
+// unknown must not be taken for a start.
+func answerAbout(args []string, out, errOut io.Writer) (code int, start bool) {
+	if len(args) == 0 {
+		return 0, true
+	}
+	flags := flag.NewFlagSet("cherrytrestle", flag.ContinueOnError)
+	flags.SetOutput(io.Discard)
+	version := flags.Bool("version", false, "")
+	err := flags.Parse(args)
+	switch {
+	case errors.Is(err, flag.ErrHelp):
+		fmt.Fprint(out, usage)
+		return 0, false
+	case err != nil:
+		fmt.Fprintf(errOut, "cherrytrestle: %v; see --help\n", err)
+		return 2, false
+	case flags.NArg() > 0:
+		fmt.Fprintf(errOut, "cherrytrestle: argument %q: none is taken, the environment tells all; see --help\n", flags.Arg(0))
+		return 2, false
+	case *version:
+		fmt.Fprintln(out, "cherrytrestle", build())
+	}
+	return 0, false
+}
+
+// build is what the build says of itself.
+func build() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "of no known build"
+	}
+	return info.Main.Version + " " + info.GoVersion
+}
+
 func main() {
+	if code, start := answerAbout(os.Args[1:], os.Stdout, os.Stderr); !start {
+		os.Exit(code)
+	}
 	if err := run(); err != nil {
 		slog.Error("stopped", "err", err)
 		os.Exit(1)
--- /dev/null
+++ b/cmd/cherrytrestle/start_test.go
@@ -0,0 +1,87 @@
+package main
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// start runs the program to its end, with nothing but env of ROUTER_ variables.
+func start(t *testing.T, env []string, args ...string) (output string, code int) {
+	t.Helper()
+	cmd := exec.Command(os.Args[0], args...)
+	for _, v := range os.Environ() {
+		if !strings.HasPrefix(v, "ROUTER_") {
+			cmd.Env = append(cmd.Env, v)
+		}
+	}
+	cmd.Env = append(append(cmd.Env, "CHERRYTRESTLE_TEST_RELAY=1"), env...)
+	out, err := cmd.CombinedOutput()
+	if err != nil && cmd.ProcessState == nil {
+		t.Fatal(err)
+	}
+	return string(out), cmd.ProcessState.ExitCode()
+}
+
+func TestArgumentsAskAndStartNothing(t *testing.T) {
+	for _, c := range []struct {
+		args []string
+		code int
+		want string
+	}{
+		{[]string{"--help"}, 0, "ROUTER_CONFIG"},
+		{[]string{"-h"}, 0, "ROUTER_STATE"},
+		{[]string{"--version"}, 0, "cherrytrestle "},
+		{[]string{"--verson"}, 2, "-verson"},
+		{[]string{"start"}, 2, `argument "start"`},
+	} {
+		out, code := start(t, nil, c.args...)
+		if code != c.code || !strings.Contains(out, c.want) {
+			t.Errorf("%v: code %d, %q; want %d with %q", c.args, code, out, c.code, c.want)
+		}
+	}
+}
+
+// Whatever is wrong with what the relay is told, the error names the variable, the file, the place and what is wanted.
+func TestAStartThatFailsSaysWhereAndWhatIsWanted(t *testing.T) {
+	dir := t.TempDir()
+	file := func(name, text string) string {
+		path := filepath.Join(dir, name)
+		must(t, os.WriteFile(path, []byte(text), 0o600))
+		return path
+	}
+	const settings = `"settings":{"tick_ms":5}`
+	none, cut := filepath.Join(dir, "none.json"), file("cut.json", "{\"name\":\"n0\",\n \"listen\":\"127.0")
+	comma := file("comma.json", "{\n \"name\":\"n0\",\n}")
+	typed := file("typed.json", "{\n \"limits\":{\"sockets\":\"many\"},\n "+settings+"}")
+	inner := file("inner.json", "{\n \"name\":\"n0\",\n \"settings\":{\n  \"tick_ms\":\"5\"}}")
+	bare, empty := file("bare.json", `{"name":"n0",`+settings+`}`), file("empty.json", "{}")
+	for _, c := range []struct {
+		env  []string
+		want []string
+	}{
+		{nil, []string{"ROUTER_CONFIG is not set", "JSON"}},
+		{[]string{"ROUTER_CONFIG=" + none}, []string{"ROUTER_CONFIG", none, "no such file"}},
+		{[]string{"ROUTER_CONFIG=" + dir}, []string{"ROUTER_CONFIG", dir, "is a directory"}},
+		{[]string{"ROUTER_CONFIG=" + cut}, []string{"ROUTER_CONFIG", cut, "line 2, column", "ends too early"}},
+		{[]string{"ROUTER_CONFIG=" + comma}, []string{comma, "line 3, column 2", "invalid character"}},
+		{[]string{"ROUTER_CONFIG=" + typed}, []string{typed, "line 2", "limits.sockets", "wanted is int"}},
+		{[]string{"ROUTER_CONFIG=" + inner}, []string{inner, "line 4", "tick_ms", "wanted is float64"}},
+		{[]string{"ROUTER_CONFIG=" + empty}, []string{empty, `no \"settings\"`}},
+		{[]string{"ROUTER_CONFIG=" + bare}, []string{"ROUTER_LISTEN is not set", bare, "where clients connect"}},
+		{[]string{"ROUTER_CONFIG=" + bare, "ROUTER_LISTEN=127.0.0.1:0"}, []string{"ROUTER_DISCOVERY is not set", bare}},
+		{[]string{"ROUTER_CONFIG=" + bare, "ROUTER_LISTEN=127.0.0.1:0", "ROUTER_DISCOVERY=127.0.0.1:1"}, []string{"ROUTER_STATE is not set", "journal"}},
+	} {
+		out, code := start(t, c.env)
+		if code != 1 {
+			t.Errorf("%v: code %d, %q", c.env, code, out)
+		}
+		for _, want := range c.want {
+			if !strings.Contains(out, want) {
+				t.Errorf("%v: %q has no %q", c.env, out, want)
+			}
+		}
+	}
+}
--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -51,31 +52,74 @@
 	DiskMB   float64 `json:"disk_mb"`
 }
 
-// LoadConfig reads the file that ROUTER_CONFIG names; the other ROUTER_ variables go before it, but for
-// ROUTER_DISCOVERY: the file may be replaced while the relay runs, and what it says of discovery is newer then.
+// setting is a part of the configuration that the environment may hold as well.
+type setting struct {
+	variable, key string
+	field         func(*Config) *string
+	wanted        string // what it has to be; empty: it may be left out
+	fileFirst     bool   // the file's value goes before the variable's
+}
+
+// ownSettings are all of them. The ROUTER_ variables go before the file, but for ROUTER_DISCOVERY: the file may be replaced
+// while the relay runs, and what it says of discovery is newer then.
+var ownSettings = []setting{
+	{"ROUTER_NAME", "name", func(c *Config) *string { return &c.Name }, "", false},
+	{"ROUTER_LISTEN", "listen", func(c *Config) *string { return &c.Listen }, "the address where clients connect, such as 127.0.0.1:3000", false},
+	{"ROUTER_DISCOVERY", "discovery", func(c *Config) *string { return &c.Discovery }, "the address of discovery's agent, such as 127.0.0.1:8500", true},
+	{"ROUTER_STATE", "", func(c *Config) *string { return &c.StateDir }, "the folder that lasts, which holds the journal", false},
+	{"ROUTER_MGMT", "mgmt", func(c *Config) *string { return &c.Mgmt }, "", false},
+}
+
+// LoadConfig reads the file that ROUTER_CONFIG names, and the other ROUTER_ variables.
 func LoadConfig(getenv func(string) string) (Config, error) {
-	data, err := os.ReadFile(getenv("ROUTER_CONFIG"))
+	path := getenv("ROUTER_CONFIG")
+	if path == "" {
+		return Config{}, errors.New("ROUTER_CONFIG is not set: it names the file that holds the relay's configuration, as JSON")
+	}
+	data, err := os.ReadFile(path)
 	if err != nil {
-		return Config{}, fmt.Errorf("config: %w", err)
+		return Config{}, fmt.Errorf("ROUTER_CONFIG: %w", err)
 	}
 	c, err := parseConfig(data)
 	if err != nil {
-		return Config{}, fmt.Errorf("config: %w", err)
+		return Config{}, fmt.Errorf("ROUTER_CONFIG: %s: %w", path, err)
 	}
-	for name, field := range map[string]*string{
-		"ROUTER_NAME": &c.Name, "ROUTER_LISTEN": &c.Listen, "ROUTER_DISCOVERY": &c.Discovery, "ROUTER_STATE": &c.StateDir,
-		"ROUTER_MGMT": &c.Mgmt,
-	} {
-		if v := getenv(name); v != "" && (field != &c.Discovery || *field == "") {
+	for _, s := range ownSettings {
+		field := s.field(&c)
+		if v := getenv(s.variable); v != "" && (!s.fileFirst || *field == "") {
 			*field = v
 		}
-	}
-	if c.Listen == "" || c.Discovery == "" || c.StateDir == "" {
-		return Config{}, errors.New("config: ROUTER_LISTEN, ROUTER_DISCOVERY and ROUTER_STATE must be set")
+		if *field == "" && s.wanted != "" {
+			if s.key != "" {
+				return Config{}, fmt.Errorf("%s is not set, and %s has no %q: %s", s.variable, path, s.key, s.wanted)
+			}
+			return Config{}, fmt.Errorf("%s is not set: %s", s.variable, s.wanted)
+		}
 	}
 	return c, nil
 }
 
+// placed adds to an error of the JSON library's where in the file it is: by line and column, and with the key.
+func placed(err error, data []byte, from int64) error {
+	var syntax *json.SyntaxError
+	var wrong *json.UnmarshalTypeError
+	switch {
+	case errors.As(err, &syntax) && from+syntax.Offset >= int64(len(data)):
+		return fmt.Errorf("%s: the file ends too early: %w", place(data, int64(len(data))), err)
+	case errors.As(err, &syntax):
+		return fmt.Errorf("%s: %w", place(data, from+syntax.Offset), err)
+	case errors.As(err, &wrong):
+		return fmt.Errorf("%s: %s: wanted is %s, not a JSON %s", place(data, from+wrong.Offset), wrong.Field, wrong.Type, wrong.Value)
+	}
+	return err
+}
+
+// place is where byte n of the file is, for people.
+func place(data []byte, n int64) string {
+	before := data[:max(0, min(n, int64(len(data))))]
+	return fmt.Sprintf("line %d, column %d", 1+bytes.Count(before, []byte("\n")), len(before)-bytes.LastIndexByte(before, '\n'))
+}
+
 func parseConfig(data []byte) (Config, error) {
 	var file struct {
 		Name      string          `json:"name"`
@@ -88,8 +132,12 @@
 		Settings  json.RawMessage `json:"settings"`
 	}
 	if err := json.Unmarshal(data, &file); err != nil {
-		return Config{}, err
+		return Config{}, placed(err, data, 0)
+	}
+	if len(file.Settings) == 0 {
+		return Config{}, errors.New(`no "settings": wanted is the object with the fleet's terms`)
 	}
+	from := int64(bytes.Index(data, file.Settings))
 	// What the relay itself goes by; all decisions' settings are mapped by package wire.
 	var own struct {
 		Services []struct{ Name string }
@@ -108,11 +156,11 @@
 		}
 	}
 	if err := json.Unmarshal(file.Settings, &own); err != nil {
-		return Config{}, fmt.Errorf("settings: %w", err)
+		return Config{}, fmt.Errorf("settings: %w", placed(err, data, from))
 	}
 	var tree any
 	if err := json.Unmarshal(file.Settings, &tree); err != nil {
-		return Config{}, fmt.Errorf("settings: %w", err)
+		return Config{}, fmt.Errorf("settings: %w", placed(err, data, from))
 	}
 	values := map[string]string{}
 	flatten(values, "", tree)
--- a/internal/trial/load/load.go
+++ b/internal/trial/load/load.go
@@ -104,6 +104,7 @@
 	Name     string
 	Share    units.Share // of the partners, those with the most traffic first
 	PerCall  int         `toml:"per_call"` // messages
+	Together float64     // messages that usually share a call, by which the limit is reckoned
 	Separate bool        // each endpoint has a limit of its own
 	Window   units.Duration
 	Headroom Range       // limit over the calls that its part of the traffic makes
@@ -231,6 +232,7 @@
 		kinds = append(kinds, k.Name)
 		whole += k.Share.Of1
 		need(k.PerCall >= 1, at+".per_call", "%d, wanted is 1 at least", k.PerCall)
+		need(k.Together >= 1 && k.Together <= float64(k.PerCall), at+".together", "%v, wanted is 1 to per_call, %d", k.Together, k.PerCall)
 		figures(at+".headroom", k.Headroom, 0.1)
 		figures(at+".spare", k.Spare, 1)
 		span(at+".wait", k.Wait)
--- a/internal/trial/stand/world.go
+++ b/internal/trial/stand/world.go
@@ -95,9 +95,7 @@
 func (w *World) start(p *Partner, rng *rand.Rand, fell func(*Partner)) {
 	k := p.Kind
 	n := int(math.Round(between(rng, w.Load.Partners.Endpoints)))
-	// Messages that share a call make fewer of them; how many share one, a third of what may, is what relays of little
-	// traffic reach.
-	calls := w.Load.Traffic.Rate.PerSecond * p.Share / math.Max(1, float64(k.PerCall)/3)
+	calls := w.Load.Traffic.Rate.PerSecond * p.Share / k.Together
 	p.Limit = math.Max(k.Least.PerSecond, calls*between(rng, k.Headroom))
 	spare, work := between(rng, k.Spare), within(rng, k.Work)
 	var shared *gate
