--- a/internal/trial/report/report.go
+++ b/internal/trial/report/report.go
@@ -303,8 +303,8 @@
 }
 
 func (f *Figures) points(h history.Header, order []*wish, calls map[int]int64, refused map[int]bool, began, ended int64) {
-	n := int((ended-began)/bucket) + 1
-	if ended <= began {
+	n := int((ended - began) / bucket) // what is left of half a second at the end is no point
+	if n < 1 {
 		return
 	}
 	f.Points = make([]Point, n)
--- /dev/null
+++ b/internal/trial/trial_test.go
@@ -0,0 +1,165 @@
+package trial
+
+import (
+	"context"
+	"errors"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"wallflow/internal/trial/check"
+)
+
+// Each scenario in its short form, on real processes. What is checked are the invariants, not the time that anything
+// takes.
+func TestEachScenarioHolds(t *testing.T) {
+	relay := relayProgram(t, "relay")
+	for _, sc := range Scenarios() {
+		t.Run(sc.Name, func(t *testing.T) {
+			t.Parallel()
+			res := mustPlay(t, sc.Name, options(t, relay, "small", 5, 5*time.Second))
+			for _, v := range res.Verdict.Violations {
+				t.Error(v)
+			}
+			if n := res.Verdict.Judged[check.TakenIsEnded]; n < 50 {
+				t.Errorf("judged on %d messages alone", n)
+			}
+			if sc.Name != "calm" && len(res.Figures.Faults) == 0 {
+				t.Error("nothing was done to anybody")
+			}
+		})
+	}
+}
+
+// One seed, one plan: what is done to whom, and when, does not change from play to play; and a plan that is read back
+// is the one that was written.
+func TestOneSeedOnePlan(t *testing.T) {
+	relay := relayProgram(t, "relay")
+	plans := map[uint64][]Step{}
+	for _, seed := range []uint64{3, 3, 4} {
+		opts := options(t, relay, "small", seed, 2*time.Second)
+		res := mustPlay(t, "relay-kill", opts)
+		if was, ok := plans[seed]; ok && !equalSteps(was, res.Plan.Steps) {
+			t.Errorf("seed %d:\n%v\nthen\n%v", seed, was, res.Plan.Steps)
+		}
+		plans[seed] = res.Plan.Steps
+		back, err := ReadPlan(filepath.Join(opts.Dir, "plan.toml"))
+		if err != nil || !equalSteps(back.Steps, res.Plan.Steps) || back.Seed != seed || back.Scenario != "relay-kill" {
+			t.Errorf("read back %+v, %v", back, err)
+		}
+	}
+	if equalSteps(plans[3], plans[4]) {
+		t.Error("two seeds, one plan")
+	}
+	opts := options(t, relay, "small", 9, 2*time.Second)
+	opts.Plan = &Plan{Steps: plans[3]}
+	if res := mustPlay(t, "relay-kill", opts); !equalSteps(res.Plan.Steps, plans[3]) {
+		t.Errorf("a given plan was not the one that was played: %v", res.Plan.Steps)
+	}
+}
+
+func equalSteps(a, b []Step) bool {
+	return slices.EqualFunc(a, b, func(x, y Step) bool {
+		return x.At == y.At && x.Do == y.Do && slices.Equal(x.On, y.On) && x.For == y.For && x.Size == y.Size && x.Note == y.Note
+	})
+}
+
+func TestAPlanThatCannotBePlayedIsNamed(t *testing.T) {
+	for text, want := range map[string]string{
+		"[[step]]\nat='1s'\ndo='explode'\non=['n0']\n":                   `step 1: do: "explode" is unknown`,
+		"[[step]]\nat='1s'\ndo='kill'\non=['n0']\n":                      "step 1: for: kill wants a time above 0",
+		"[[step]]\nat='1s'\ndo='kill'\nfor='1s'\non=[]\n":                "step 1: on: it names nobody",
+		"[[step]]\nat='1s'\ndo='slow'\nfor='1s'\non=['s-00a']\n":         "step 1: size: slow wants a figure above 0",
+		"[[step]]\nat='1s'\ndo='succeed'\nfor='1s'\nnote='x'\non=['n0']": `step 1: note: "x" is none of`,
+		"[[step]]\nat=1\n": "plan.toml:2: step.at: ",
+		"[[step]]\nat='1s'\ndo='kill'\nfor='1s'\non=['n0']\nwhat='x'\n":        "plan.toml:6: step.what: no such key",
+		"[[step]]\nat='1s'\ndo='kill'\nfor='1s'\non=['n0']\n[[step]]\nat='1s'": "step 2: do: ",
+	} {
+		path := filepath.Join(t.TempDir(), "plan.toml")
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := ReadPlan(path); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%q: %v, want %q", text, err, want)
+		}
+	}
+	opts := options(t, relayProgram(t, "relay"), "small", 1, time.Second)
+	opts.Plan = &Plan{Steps: []Step{{Do: "kill", On: []string{"n7"}, For: span(time.Second)}}}
+	sc, _ := Find("calm")
+	if _, err := Run(context.Background(), sc, opts); !errors.Is(err, ErrNotPlayed) || !strings.Contains(err.Error(), `the fleet has no "n7"`) {
+		t.Errorf("a relay that is not there: %v", err)
+	}
+}
+
+// What cannot be played is no verdict: no program, one that ends at once, a trial that is called off.
+func TestWhatCannotBePlayedIsNoVerdict(t *testing.T) {
+	sc, _ := Find("calm")
+	play := func(ctx context.Context, relay string) error {
+		_, err := Run(ctx, sc, options(t, relay, "small", 1, time.Minute))
+		return err
+	}
+	if err := play(context.Background(), filepath.Join(t.TempDir(), "none")); !errors.Is(err, ErrNotPlayed) {
+		t.Errorf("no program: %v", err)
+	}
+	if err := play(context.Background(), "/bin/false"); !errors.Is(err, ErrNotPlayed) || !strings.Contains(err.Error(), "ended before it was ready") {
+		t.Errorf("a program that ends: %v", err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	if err := play(ctx, relayProgram(t, "relay")); !errors.Is(err, ErrNotPlayed) {
+		t.Errorf("called off: %v", err)
+	}
+}
+
+// A relay that is broken on purpose, in a build of this test alone, is found out: each invariant by its name.
+func TestEachInvariantFailsOnARelayThatBreaksIt(t *testing.T) {
+	busiest := []string{"s-00a", "s-00b", "s-01a", "s-01b"} // two partners that take payments, with two endpoints at least
+	const relay, hosts, config, wal = "internal/relay/relay.go", "internal/relay/hosts.go", "internal/relay/config.go", "internal/wal/wal.go"
+	for _, c := range []struct {
+		name, scenario string
+		changes        []change
+		steps          []Step // in place of the scenario's own
+	}{
+		{check.TakenIsEnded, "partner-outage", []change{{relay, "\tr.finals.add(n)\n}", "\t_ = n // the notice is forgotten\n}"}}, nil},
+		{check.NoSecondEffect, "calm", []change{{hosts, "\treturn policy.Reset\n}", "\treturn policy.ConnectFailed // what may have run is taken for what never did\n}"}},
+			[]Step{{At: span(time.Second), Do: "break", On: busiest, For: span(2 * time.Second)}}},
+		{check.OwnEndpoints, "calm", []change{{config, "\tl.Destination = *m.Cell\n", "\tl.Destination = *m.Cell / 2 * 2 // two partners are taken for one\n"}}, nil},
+		{check.DrainKept, "agent-silent", []change{{config, "\tcase \"draining\":\n", "\tcase \"draining\":\n\t\tl.InService = true // a drain is passed over\n"}}, nil},
+		{check.WaitHeeded, "calm", []change{{hosts, "\tr := result{wait: wait, report:", "\twait = 0 // what a partner tells is passed over\n\tr := result{wait: wait, report:"}},
+			[]Step{{At: span(time.Second), Do: "shut", On: busiest, For: span(2500 * time.Millisecond)}}},
+		{check.MemoryFlat, "calm", []change{{relay, "func (r *Relay) notify(m *message) {",
+			"var kept [][]byte\n\nfunc (r *Relay) notify(m *message) {"},
+			{relay, "func (r *Relay) retire(m *message) {", "func (r *Relay) retire(m *message) {\n\tkept = append(kept, make([]byte, 256<<10)) // never let go\n\tfor i := range kept[len(kept)-1] {\n\t\tkept[len(kept)-1][i] = 1\n\t}"}}, nil},
+		{check.DiskBound, "calm", []change{{wal, "\tif l.size+int64(len(all)) > l.share(compactShare) {", "\tif l.size+int64(len(all)) > 1<<40 {"},
+			{wal, "\tif l.size+int64(len(all)) > l.limit-2*block {", "\tif l.size+int64(len(all)) > 1<<40 {"}}, nil},
+		{check.NoLeak, "calm", []change{{relay, "func (r *Relay) retire(m *message) {", "func (r *Relay) retire(m *message) {\n\tif f, err := os.Open(os.DevNull); err == nil && len(kept) < 100 {\n\t\tkept = append(kept, f)\n\t}"},
+			{relay, "func (r *Relay) notify(m *message) {", "var kept []*os.File\n\nfunc (r *Relay) notify(m *message) {"},
+			{relay, "\t\"net/http\"\n", "\t\"net/http\"\n\t\"os\"\n"}}, nil},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			opts := options(t, relayProgram(t, "broken-"+c.name, c.changes...), "small", 2, 5*time.Second)
+			if c.name == check.DiskBound {
+				opts.Load.Relay.Disk.N = 256 << 10 // reached within the trial, by bodies that are long
+				opts.Load.Traffic.Body.Low, opts.Load.Traffic.Body.High = 8000, 16000
+			}
+			if c.steps != nil {
+				opts.Plan = &Plan{Steps: c.steps}
+			}
+			res := mustPlay(t, c.scenario, opts)
+			found := map[string]int{}
+			for _, v := range res.Verdict.Violations {
+				found[v.Name]++
+				if v.ID == "" || len(v.Lines) == 0 {
+					t.Errorf("%v names nobody or shows nothing", v)
+				}
+			}
+			if found[c.name] == 0 {
+				t.Errorf("it was not found; found was %v", found)
+			}
+		})
+	}
+}
