--- a/internal/trial/load/load.go
+++ b/internal/trial/load/load.go
@@ -197,7 +197,7 @@
 	r := l.Relay
 	need(r.Cores > 0, "relay.cores", "%v, wanted is more than 0", r.Cores)
 	need(r.Memory.N >= 16<<20, "relay.memory", "%d bytes, wanted are 16MiB at least", r.Memory.N)
-	need(r.Disk.N >= 1<<18, "relay.disk", "%d bytes, wanted are 256KiB at least", r.Disk.N)
+	need(r.Disk.N >= 64<<10, "relay.disk", "%d bytes, wanted are 64KiB at least", r.Disk.N)
 	need(r.Sockets >= 64, "relay.sockets", "%d, wanted are 64 at least", r.Sockets)
 	need(r.Slots >= 1, "relay.slots", "%d, wanted is 1 at least", r.Slots)
 	need(r.Open >= 1, "relay.hold", "%d, wanted is 1 at least", r.Open)
--- a/internal/trial/load/load_test.go
+++ b/internal/trial/load/load_test.go
@@ -42,7 +42,7 @@
 		{`share = "62%"`, `share = "60%"`, "class: shares add up to 98.0%"},
 		{`effect = "unsafe"`, `effect = "never"`, `class 2 (slot-payment).effect: "never"`},
 		{"retries = 2", "retrys = 2", "clients.retrys: no such key"},
-		{`disk = "300KB"`, `disk = "1"`, "relay.disk: "},
+		{`disk = "128KB"`, `disk = "1"`, "relay.disk: "},
 	} {
 		text := strings.Replace(string(sound), c.old, c.new, 1)
 		if text == string(sound) {
--- a/internal/trial/plan.go
+++ b/internal/trial/plan.go
@@ -54,7 +54,7 @@
 func init() { // the functions refer to each other
 	doings = map[string]doing{
 		"kill":            {about: "SIGKILL; started again with its folder after `for`", on: 'r', span: true, do: doKill},
-		"kill-compacting": {about: "SIGKILL while it compacts its journal, or after a second", on: 'r', span: true, do: doKill},
+		"kill-compacting": {about: "SIGKILL while it compacts its journal, or after 5 s without that", on: 'r', span: true, do: doKill},
 		"restart":         {about: "SIGTERM; started again with its folder `for` after it ended", on: 'r', span: true, do: doRestart},
 		"freeze":          {about: "SIGSTOP for so long", on: 'r', span: true, do: doFreeze},
 		"succeed":         {about: "a successor takes over; `note` says what goes wrong", on: 'r', span: true, notes: Hurts, do: doSucceed},
@@ -232,11 +232,14 @@
 
 func sleep(ctx context.Context, d time.Duration) bool { return sleepUntil(ctx, time.Now().Add(d)) }
 
+// compactsIn is how long a trial waits for a relay to compact its journal.
+const compactsIn = 5 * time.Second
+
 func doKill(ctx context.Context, g *Ground, s Step, on string) error {
 	r := g.relay(on)
 	var err error
 	if s.Do == "kill-compacting" {
-		err = r.KillCompacting(ctx, time.Second)
+		err = r.KillCompacting(ctx, compactsIn)
 	} else {
 		err = r.Kill()
 	}
--- a/internal/trial/relay.go
+++ b/internal/trial/relay.go
@@ -315,22 +315,20 @@
 	return errors.Join(errs...)
 }
 
-// KillCompacting kills the relay while it compacts its journal, or once most has passed without it.
+// KillCompacting kills the relay while it compacts its journal, which begins with another file, or once most has
+// passed without it.
 func (r *Relay) KillCompacting(ctx context.Context, most time.Duration) error {
-	temp := filepath.Join(r.state(), "wal.tmp")
-	end := time.Now().Add(most)
-	caught := false
-	for time.Now().Before(end) && ctx.Err() == nil && !caught {
-		_, err := os.Stat(temp)
-		caught = err == nil
-		if !caught {
-			time.Sleep(100 * time.Microsecond)
-		}
+	name, err := created(ctx, r.state(), most)
+	if err != nil {
+		return err
 	}
-	if caught {
-		r.g.rec.Add(history.Event{Kind: history.Fault, Relay: r.Name, Note: "killed while compacting"})
+	if err := r.Kill(); err != nil {
+		return err
 	}
-	return r.Kill()
+	if name != "" {
+		r.g.rec.Add(history.Event{Kind: history.Fault, Relay: r.Name, Note: "killed while compacting into " + name})
+	}
+	return nil
 }
 
 // Term ends the relay in order: SIGTERM, and SIGKILL if it has not ended by then.
--- a/internal/trial/scenario.go
+++ b/internal/trial/scenario.go
@@ -98,11 +98,11 @@
 func relayKill(rng *rand.Rand, g *Ground, lasting time.Duration) (steps []Step) {
 	kills := max(3, int(lasting.Seconds()/2))
 	for i := range kills {
-		do := "kill"
+		do, to := "kill", 0.85
 		if i%3 == 2 {
-			do = "kill-compacting"
+			do, to = "kill-compacting", max(0.1, 0.85-compactsIn.Seconds()/lasting.Seconds())
 		}
-		steps = append(steps, Step{At: span(at(rng, lasting, 0.1, 0.85)), Do: do, On: g.some(rng, 0.2), For: span(long(rng, 50*time.Millisecond, 900*time.Millisecond))})
+		steps = append(steps, Step{At: span(at(rng, lasting, 0.1, to)), Do: do, On: g.some(rng, 0.2), For: span(long(rng, 50*time.Millisecond, 900*time.Millisecond))})
 	}
 	return inOrder(steps)
 }
@@ -161,16 +161,23 @@
 	return inOrder(steps)
 }
 
+// takeOverFor is how long a take-over may last: what is done to it, its elder as hands, and the elder's end.
+const takeOverFor = 4500 * time.Millisecond
+
 func takeOver(rng *rand.Rand, g *Ground, lasting time.Duration) (steps []Step) {
-	// Each way once at least, over the relays in turn; a relay's steps wait for each other.
-	order := rng.Perm(len(Hurts))
+	// As many as fit, each relay's one after the other; the ways in an order drawn anew once all were used.
 	names := g.some(rng, 1)
-	rounds := max(1, int(lasting.Seconds()/20))
+	rounds := max(1, int(lasting*7/10/takeOverFor))
+	var order []int
 	for round := range rounds {
-		for i, way := range order {
-			from := 0.05 + 0.6*(float64(round)+float64(i)/float64(len(order)))/float64(rounds)
-			steps = append(steps, Step{At: span(at(rng, lasting, from, from+0.05)), Do: "succeed", On: names[(round*len(order)+i)%len(names):][:1],
-				For: span(long(rng, 100*time.Millisecond, 1500*time.Millisecond)), Note: Hurts[way]})
+		for _, name := range names {
+			if len(order) == 0 {
+				order = rng.Perm(len(Hurts))
+			}
+			from := 0.05 + 0.7*float64(round)/float64(rounds)
+			steps = append(steps, Step{At: span(at(rng, lasting, from, from+0.1)), Do: "succeed", On: []string{name},
+				For: span(long(rng, 100*time.Millisecond, 1500*time.Millisecond)), Note: Hurts[order[0]]})
+			order = order[1:]
 		}
 	}
 	return inOrder(steps)
