Let nothing come out of a cut link that was written before or during the cut

Ruled out: the relay (its calls were written and given up before the notice; the log shows nothing after it). At fault was the ground: connections that came up just as the link was cut waited in the system's queue, with what the relay had written and closed, and were accepted after the cut. The queue is now emptied first, without a deadline that a busy machine may pass, and a connection whose handshake took longer than 10 ms on loopback is reset.

--- a/internal/trial/fault/link.go
+++ b/internal/trial/fault/link.go
@@ -17,6 +17,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -26,6 +28,8 @@
 	resendTime = 200 * time.Millisecond // what a lost segment costs a TCP stream, at the least
 	fillFor    = 20 * time.Millisecond
 	fillMost   = 16
+
+	handshakeMost = 10 * time.Millisecond // see stale
 )
 
 // Way is one direction of a link.
@@ -60,6 +64,8 @@
 	stop context.CancelFunc
 	wg   sync.WaitGroup
 
+	setting sync.Mutex // held by Set: the queue of connections is its alone
+
 	mu      sync.Mutex
 	faults  Faults
 	changed chan struct{} // closed and replaced with each change of faults
@@ -107,20 +113,21 @@
 // Set changes what the link does, for open connections too. A link that was cut and is no more goes on where it was,
 // as TCP sends again what got lost.
 func (k *Link) Set(f Faults) {
+	k.setting.Lock()
+	defer k.setting.Unlock()
+	k.mu.Lock()
+	was, closed := k.faults.cut(), k.closed
+	k.mu.Unlock()
+	if was && !f.cut() && !closed {
+		k.unshut() // while nobody accepts yet
+	}
 	k.mu.Lock()
-	was := k.faults.cut()
 	k.faults = f
 	close(k.changed)
 	k.changed = make(chan struct{})
-	closed := k.closed
 	k.mu.Unlock()
-	if closed || was == f.cut() {
-		return
-	}
-	if f.cut() {
+	if !was && f.cut() && !closed {
 		k.shut()
-	} else {
-		k.unshut()
 	}
 }
 
@@ -163,15 +170,32 @@
 	}
 }
 
-// unshut lets connections come up again.
+// unshut lets connections come up again. One that found a place in the queue before it was full came up for its client
+// alone: what the client has written to it since, and perhaps given up, must not come out now as if it were new.
 func (k *Link) unshut() {
+	raw, err := k.l.SyscallConn()
+	if err == nil {
+		raw.Control(func(fd uintptr) {
+			for {
+				c, _, err := syscall.Accept4(int(fd), syscall.SOCK_CLOEXEC)
+				if err == syscall.EINTR || err == syscall.ECONNABORTED {
+					continue
+				}
+				if err != nil {
+					return // the queue is empty
+				}
+				syscall.SetsockoptLinger(c, syscall.SOL_SOCKET, syscall.SO_LINGER, &syscall.Linger{Onoff: 1})
+				syscall.Close(c)
+			}
+		})
+	}
 	k.mu.Lock()
 	for _, c := range k.fillers {
 		c.Close()
 	}
 	k.fillers = nil
 	k.mu.Unlock()
-	if raw, err := k.l.SyscallConn(); err == nil {
+	if err == nil {
 		raw.Control(func(fd uintptr) { syscall.Listen(int(fd), syscall.SOMAXCONN) })
 	}
 	k.l.SetDeadline(time.Time{})
@@ -221,7 +245,7 @@
 			continue
 		}
 		f := k.Faults()
-		if f.Refuse {
+		if f.Refuse || stale(near) {
 			near.SetLinger(0)
 			near.Close()
 			continue
@@ -231,6 +255,22 @@
 	}
 }
 
+// stale tells of a connection that came up for its client while the link was cut: the system dropped the last step of its
+// handshake for want of room, and it was made up for by what the client's side sent again much later. Handshakes on
+// loopback take microseconds, and processes have no part in them.
+func stale(c *net.TCPConn) bool {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return false
+	}
+	again := false
+	raw.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		again = err == nil && (info.Total_retrans > 0 || time.Duration(info.Rtt)*time.Microsecond > handshakeMost)
+	})
+	return again
+}
+
 // conn is one connection over a link.
 type conn struct {
 	near *net.TCPConn
--- a/internal/trial/fault/link_test.go
+++ b/internal/trial/fault/link_test.go
@@ -6,6 +6,8 @@
 	"errors"
 	"io"
 	"net"
+	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -133,6 +135,80 @@
 	hear(t, n, 1)
 }
 
+// Whoever connected just as the link was cut, wrote and gave up: none of it comes out once the link is whole, where it
+// would be taken for something that was sent only then.
+func TestNothingOldComesOutOfACutLink(t *testing.T) {
+	heard := make(chan string, 64)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				data, _ := io.ReadAll(c)
+				if len(data) > 0 {
+					heard <- string(data)
+				}
+			}()
+		}
+	}()
+	k := newLink(t, Faults{}, func(ctx context.Context) (net.Conn, error) {
+		return new(net.Dialer).DialContext(ctx, "tcp", l.Addr().String())
+	})
+	var wg sync.WaitGroup
+	var ending atomic.Bool // the cut is: whoever writes late must not be taken for one who wrote during it
+	stop := make(chan struct{})
+	for range 8 { // some of them meet the moment of the cut
+		wg.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				if c, err := net.DialTimeout("tcp", k.Addr(), 30*time.Millisecond); err == nil {
+					if k.Faults().To.Cut && !ending.Load() {
+						io.WriteString(c, "old")
+					}
+					c.Close()
+				}
+			}
+		})
+	}
+	for range 5 {
+		time.Sleep(10 * time.Millisecond)
+		ending.Store(false)
+		k.Change(func(f *Faults) { f.To.Cut, f.From.Cut = true, true })
+		time.Sleep(60 * time.Millisecond)
+		ending.Store(true)
+		time.Sleep(10 * time.Millisecond)
+		k.Change(func(f *Faults) { f.To.Cut, f.From.Cut = false, false })
+	}
+	close(stop)
+	wg.Wait()
+	c := connect(t, k)
+	say(t, c, "new")
+	c.(*net.TCPConn).CloseWrite()
+	for {
+		select {
+		case text := <-heard:
+			if text == "new" {
+				return
+			}
+			t.Errorf("%q came out of a link that was cut when it was written", text)
+		case <-time.After(10 * time.Second):
+			t.Fatal("nothing goes over the link")
+		}
+	}
+}
+
 func TestOneWayCut(t *testing.T) {
 	k := newLink(t, Faults{}, echo(t))
 	c := connect(t, k)
--- a/internal/trial/trial_test.go
+++ b/internal/trial/trial_test.go
@@ -34,6 +34,25 @@
 	}
 }
 
+// Seeds that found a fault, in relays or in the ground, as they found it: docs/findings/trials.md.
+func TestSeedsThatFoundAFault(t *testing.T) {
+	relay := relayProgram(t, "relay")
+	for _, c := range []struct {
+		scenario, load string
+		seed           uint64
+		lasting        time.Duration
+	}{
+		{"partner-outage", "berth", 102, 20 * time.Second}, // calls from before a cut came out after it
+	} {
+		t.Run(c.scenario, func(t *testing.T) {
+			t.Parallel()
+			for _, v := range mustPlay(t, c.scenario, options(t, relay, c.load, c.seed, c.lasting)).Verdict.Violations {
+				t.Error(v)
+			}
+		})
+	}
+}
+
 // One seed, one plan: what is done to whom, and when, does not change from play to play; and a plan that is read back
 // is the one that was written.
 func TestOneSeedOnePlan(t *testing.T) {
