Replicate the list: raft's state machine over the catalog, on the durable store

Commands found a cluster once and write to its list; readers are woken by changes alone, and a version of another cluster gets the whole list. A command or kind that this build does not know ends the server with the entry's index: passing it over would part its list from the others' under one version.

--- /dev/null
+++ b/internal/listsvc/machine.go
@@ -0,0 +1,190 @@
+// Package listsvc is the list service: the catalog of endpoints, replicated by raft over list servers.
+package listsvc
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"sync"
+
+	"github.com/hashicorp/raft"
+
+	"wallflow/internal/catalog"
+)
+
+// The kinds of command in raft's log.
+const (
+	cmdFound = "found" // gives the cluster its id, once
+	cmdWrite = "write"
+)
+
+// command is an entry of raft's log. A server of an older build that does not know a kind stops: to pass it over would be to
+// hold another list than the others under the same version.
+type command struct {
+	Kind    string         `json:"kind"`
+	Cluster string         `json:"cluster,omitempty"`
+	Write   *catalog.Write `json:"write,omitempty"`
+}
+
+// Errors of a command that was applied and turned down. They are part of the state's history: every server has the same.
+var (
+	ErrFounded    = errors.New("the cluster has an id already")
+	ErrNotFounded = errors.New("the cluster has no id yet: it was never set up")
+)
+
+// outcome is what Apply returns to who wrote.
+type outcome struct {
+	result catalog.Result
+	err    error
+}
+
+// Machine is raft's state machine: it applies commands to the catalog, and tells readers when the list has changed.
+type Machine struct {
+	keep int // changes that the catalog keeps
+
+	mu      sync.RWMutex
+	cat     *catalog.Catalog // nil: not founded
+	index   uint64           // of the last command applied
+	changed chan struct{}    // closed and replaced with each change
+}
+
+var _ raft.FSM = (*Machine)(nil)
+
+// NewMachine returns the machine of a server that has seen nothing yet.
+func NewMachine(keep int) *Machine {
+	return &Machine{keep: keep, changed: make(chan struct{})}
+}
+
+// Apply carries a command out. A command that cannot be read is no command of this build's, and going on would part this
+// server's list from the others': it panics, which ends the server with the entry's index in its last words.
+func (m *Machine) Apply(l *raft.Log) any {
+	var c command
+	d := json.NewDecoder(bytes.NewReader(l.Data))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&c); err != nil {
+		panic(fmt.Sprintf("log entry %d: %v: this build cannot follow the cluster", l.Index, err))
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.index = l.Index
+	switch {
+	case c.Kind == cmdFound && m.cat != nil:
+		return outcome{err: fmt.Errorf("%w: %s", ErrFounded, m.cat.Cluster())}
+	case c.Kind == cmdFound:
+		m.cat = catalog.New(c.Cluster, m.keep)
+		m.wake()
+		return outcome{}
+	case c.Kind == cmdWrite && c.Write != nil && m.cat == nil:
+		return outcome{err: ErrNotFounded}
+	case c.Kind == cmdWrite && c.Write != nil:
+		r, err := m.cat.Apply(*c.Write)
+		if err == nil && r.Changed > 0 && !r.Repeated {
+			m.wake()
+		}
+		return outcome{r, err}
+	}
+	panic(fmt.Sprintf("log entry %d: kind %q: this build cannot follow the cluster", l.Index, c.Kind))
+}
+
+// wake tells all who wait that there is something new.
+func (m *Machine) wake() {
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+// Status is where a server's list stands.
+type Status struct {
+	Cluster string
+	Version int64
+	Entries int
+	Index   uint64 // of raft's log
+}
+
+// Status returns where the list stands.
+func (m *Machine) Status() Status {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	if m.cat == nil {
+		return Status{Index: m.index}
+	}
+	return Status{m.cat.Cluster(), m.cat.Version(), m.cat.Len(), m.index}
+}
+
+// Since returns what changed after a version of a cluster's list: the whole list where the version is another cluster's. With
+// nothing to tell, next is closed once there may be something.
+func (m *Machine) Since(cluster string, version int64) (l catalog.List, changed bool, next <-chan struct{}) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	if m.cat == nil {
+		return catalog.List{}, false, m.changed
+	}
+	if cluster != m.cat.Cluster() {
+		version = 0
+	}
+	l, changed = m.cat.Since(version)
+	return l, changed, m.changed
+}
+
+// Whole returns the list, and the cluster whose it is.
+func (m *Machine) Whole() (catalog.List, string) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	if m.cat == nil {
+		return catalog.List{Full: true}, ""
+	}
+	return m.cat.Whole(), m.cat.Cluster()
+}
+
+// state is what a raft snapshot holds.
+type state struct {
+	Index   uint64            `json:"index"`
+	Catalog *catalog.Snapshot `json:"catalog"` // nil: not founded
+}
+
+// Snapshot copies the state; writing it out does not hold the machine up.
+func (m *Machine) Snapshot() (raft.FSMSnapshot, error) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	s := state{Index: m.index}
+	if m.cat != nil {
+		c := m.cat.Snapshot()
+		s.Catalog = &c
+	}
+	return &s, nil
+}
+
+// Persist writes the state out.
+func (s *state) Persist(sink raft.SnapshotSink) error {
+	if err := json.NewEncoder(sink).Encode(s); err != nil {
+		return errors.Join(fmt.Errorf("snapshot: %w", err), sink.Cancel())
+	}
+	return sink.Close()
+}
+
+// Release is raft's word that the state is not needed any more.
+func (s *state) Release() {}
+
+// Restore puts a snapshot in the place of the state, or leaves it as it was.
+func (m *Machine) Restore(in io.ReadCloser) error {
+	defer in.Close()
+	var s state
+	d := json.NewDecoder(in)
+	d.DisallowUnknownFields()
+	if err := d.Decode(&s); err != nil {
+		return fmt.Errorf("snapshot: %w", err)
+	}
+	var cat *catalog.Catalog
+	if s.Catalog != nil {
+		var err error
+		if cat, err = catalog.Load(*s.Catalog, m.keep); err != nil {
+			return err
+		}
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.cat, m.index = cat, s.Index
+	m.wake()
+	return nil
+}
