--- a/internal/trial/ground.go
+++ b/internal/trial/ground.go
@@ -52,6 +52,8 @@
 	Keeper   func() *exec.Cmd
 	Log      *slog.Logger
 	Progress func(Progress) // once a second; may be nil
+
+	free func(host string) (addr string, err error) // in place of freeAddr; for tests
 }
 
 // Progress is how far a trial is.
@@ -102,6 +104,9 @@
 	if _, err := exec.LookPath(opts.Relay); err != nil {
 		return nil, fmt.Errorf("%w: the relay's program: %w", ErrNotPlayed, err)
 	}
+	if opts.free == nil {
+		opts.free = freeAddr
+	}
 	res = &Result{Scenario: sc.Name, Dir: opts.Dir}
 	dir := opts.Dir
 	g := &Ground{opts: opts, load: opts.Load, links: map[string]*fault.Link{}, byName: map[string]*Relay{}, ran: map[string]bool{}}
--- a/internal/trial/relay.go
+++ b/internal/trial/relay.go
@@ -172,7 +172,7 @@
 	if err := r.configure(); err != nil {
 		return nil, err
 	}
-	mgmt, err := freeAddr(r.host)
+	mgmt, err := r.g.opts.free(r.host)
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", r.Name, err)
 	}
--- a/internal/trial/trial_test.go
+++ b/internal/trial/trial_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"os"
 	"path/filepath"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -133,6 +135,30 @@
 	}
 }
 
+// A port that somebody else took between its choice and the relay's start costs a try, not the trial.
+func TestAPortThatIsTakenIsLeftToItsHolder(t *testing.T) {
+	holder, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer holder.Close()
+	opts := options(t, relayProgram(t, "relay"), "small", 1, time.Second)
+	var mu sync.Mutex
+	asked := 0
+	opts.free = func(host string) (string, error) {
+		mu.Lock()
+		defer mu.Unlock()
+		if asked++; asked <= 2 {
+			return holder.Addr().String(), nil
+		}
+		return freeAddr(host)
+	}
+	res := mustPlay(t, "calm", opts)
+	if !res.Verdict.Held() || asked < 5 {
+		t.Errorf("%v after %d choices, 3 relays and 2 ports that were taken", res.Verdict.Violations, asked)
+	}
+}
+
 // A relay that is broken on purpose, in a build of this test alone, is found out: each invariant by its name.
 func TestEachInvariantFailsOnARelayThatBreaksIt(t *testing.T) {
 	busiest := []string{"s-00a", "s-00b", "s-01a", "s-01b"} // two partners that take payments, with two endpoints at least
