Count a message's time from when its frozen relay went on, if it came meanwhile

The message was handed in while its relay was stopped; the relay counts from when it could read it, the judge counted from the client's last byte.

--- a/internal/trial/check/check_test.go
+++ b/internal/trial/check/check_test.go
@@ -294,3 +294,30 @@
 		t.Error("1.7 s after it went on, and held")
 	}
 }
+
+// What came while its relay was stopped has its time from when the relay went on.
+func TestAMessageThatLayBeforeAFrozenRelay(t *testing.T) {
+	frozen := func(noticeAt int64) Verdict {
+		e := slices.DeleteFunc(undisturbed(sound()), func(o history.Event) bool { return o.Kind == history.Sample })
+		i := find(t, e, history.Notice, "m4")
+		x := e[i]
+		x.At = noticeAt * ms
+		e = slices.Delete(e, i, i+1)
+		proc := func(at int64, note string) history.Event {
+			return history.Event{At: at * ms, Kind: history.Proc, Relay: "n0", Life: 1, Note: note}
+		}
+		e = slices.Insert(e, find(t, e, history.Hand, "m4"), proc(1090, history.Stop))
+		k := find(t, e, history.Hand, "m4") + 1
+		e = slices.Insert(e, k, proc(1450, history.Cont))
+		for i := k + 1; i < len(e); i++ { // what it did with the message came later
+			e[i].At = max(e[i].At, 1460*ms)
+		}
+		return Check(rules(), append(e, x, history.Event{At: 9000 * ms, Kind: history.Fault, Note: "over"}))
+	}
+	if v := frozen(1450 + 4000 + 300); !v.Held() {
+		t.Errorf("in its time: %v", v.Violations)
+	}
+	if v := frozen(1450 + 4000 + 400); v.Held() {
+		t.Error("50 ms after its time, and held")
+	}
+}
