--- a/internal/trial/stand/partner.go
+++ b/internal/trial/stand/partner.go
@@ -76,7 +76,7 @@
 			g.tokens = math.Max(-g.burst(), g.tokens-1)
 		}
 		share = g.tokens / g.burst()
-		wait = time.Duration((1 - g.tokens) / g.limit * float64(time.Second))
+		wait = time.Duration((1-g.tokens)/g.limit*float64(time.Second)) + time.Millisecond // at its end there is room
 	}
 	if now.Sub(g.told) >= g.next {
 		g.told, g.next, g.left = now, within(g.rng, g.kind.Report), math.Max(0, math.Min(1, share))
