--- a/cmd/wallflow/main_test.go
+++ b/cmd/wallflow/main_test.go
@@ -95,6 +95,7 @@
 		want string
 	}{
 		{[]string{"trail"}, `"trail"`},
+		{[]string{"trial", "rum"}, `"rum" is no command`},
 		{[]string{"trial", "run"}, "the scenario's name"},
 		{[]string{"trial", "run", "relay-kil"}, `"relay-kil"`},
 		{[]string{"trial", "run", "calm", "--laod", "small"}, "--laod"},
--- a/cmd/wallflow/trial.go
+++ b/cmd/wallflow/trial.go
@@ -48,6 +48,10 @@
 them what a plan says, and judges the history by the invariants of the fleet.
 
 Its last line is its verdict: held, broken, or not played. A trial that this machine was too slow for is not played.`,
+		Example: `  wallflow trial list
+  wallflow trial run berth`,
+		Args: subcommand,
+		RunE: func(cmd *cobra.Command, _ []string) error { return cmd.Help() },
 	}
 	cmd.AddCommand(newTrialList(), newTrialRun(a), newTrialSweep(a), newTrialCheck(), newTrialKeeper())
 	return cmd
@@ -198,6 +202,14 @@
 	return cmd
 }
 
+// subcommand turns down what is no subcommand: the library would print the help, as if that had been asked for.
+func subcommand(cmd *cobra.Command, args []string) error {
+	if len(args) > 0 {
+		return fmt.Errorf("%s: %q is no command of it; see %s --help", cmd.CommandPath(), args[0], cmd.CommandPath())
+	}
+	return nil
+}
+
 // exactly is cobra's check with words that say what is missing.
 func exactly(n int, what string) cobra.PositionalArgs {
 	return func(cmd *cobra.Command, args []string) error {
