Find relays that crash in a trial: a process ends only where it was told to

Reading the change again: the judge excused all that a relay held while it was away, and nothing looked at why it was. A relay that crashed by itself held, and one that did not start again was 'not played'. The invariant stays-up judges each end; a start that fails in the middle of a trial is a breach.

--- a/internal/trial/check/check.go
+++ b/internal/trial/check/check.go
@@ -20,10 +20,11 @@
 	MemoryFlat     = "memory-flat"
 	DiskBound      = "disk-bound"
 	NoLeak         = "no-leak"
+	StaysUp        = "stays-up"
 )
 
 // Names are all invariants that this package judges, in the order of reports.
-var Names = []string{TakenIsEnded, NoSecondEffect, OwnEndpoints, DrainKept, WaitHeeded, MemoryFlat, DiskBound, NoLeak}
+var Names = []string{TakenIsEnded, NoSecondEffect, OwnEndpoints, DrainKept, WaitHeeded, MemoryFlat, DiskBound, NoLeak, StaysUp}
 
 // The protocol's figures, in microseconds.
 const (
@@ -61,6 +62,11 @@
 // Held tells that nothing was broken.
 func (v *Verdict) Held() bool { return len(v.Violations) == 0 }
 
+// Broke tells whether an invariant was broken.
+func (v *Verdict) Broke(name string) bool {
+	return slices.ContainsFunc(v.Violations, func(x Violation) bool { return x.Name == name })
+}
+
 // judge is a history taken apart.
 type judge struct {
 	rules   history.Rules
@@ -124,6 +130,7 @@
 		j.drains(n, j.relays[n])
 		j.waits(n, j.relays[n])
 		j.figures(n, j.relays[n])
+		j.staysUp(n, j.relays[n])
 	}
 	return j.out
 }
@@ -526,3 +533,32 @@
 			b.Descriptors, a.Descriptors), 0, []int{before, after}}, 0, 0)
 	}
 }
+
+// staysUp: a process ends only where it was told to, and in order where it was asked. Without this a relay that crashes
+// would be excused from all that it held.
+func (j *judge) staysUp(name string, r *relay) {
+	told, excused := map[int]string{}, map[int]bool{}
+	for _, i := range r.procs {
+		e := j.events[i]
+		switch e.Note {
+		case history.Kill:
+			told[e.Life] = e.Note
+		case history.Term:
+			if told[e.Life] == "" {
+				told[e.Life] = e.Note
+			}
+		case history.PortTaken:
+			excused[e.Life] = true
+		}
+	}
+	for _, i := range r.procs {
+		e := j.events[i]
+		if e.Note != history.Ended || excused[e.Life] {
+			continue
+		}
+		j.judged(StaysUp)
+		if why := told[e.Life]; why == "" || (why == history.Term && e.Status != 0) {
+			j.broken(Violation{StaysUp, name, fmt.Sprintf("its process %d ended by itself, code %d (%s); it was told %q", e.Life, e.Status, e.State, why), 0, []int{i}}, 0, 0)
+		}
+	}
+}
--- a/internal/trial/check/check_test.go
+++ b/internal/trial/check/check_test.go
@@ -60,7 +60,7 @@
 		// A drain, kept.
 		told(2100, "s-0b", "draining"),
 		// Taken on by a process that is killed, and made good by the next after the message's time.
-		hand(2500, "m5", "notice", 0), taken(2505, "m5"), call(2510, 7, "m5", "s-0a", "north"), proc(2520, history.Kill),
+		hand(2500, "m5", "notice", 0), taken(2505, "m5"), call(2510, 7, "m5", "s-0a", "north"), proc(2520, history.Kill), proc(2521, history.Ended),
 		reply(2521, 7, "m5", "s-0a", history.Broken, 0), proc(6600, history.Started), proc(6700, history.Ready),
 		{At: 8100 * ms, Kind: history.Notice, Relay: "n0", ID: "m5", End: "undeliverable"},
 		sample(9000, "after", 12_000_000),
@@ -216,6 +216,13 @@
 			e[find(t, e, history.Sample, "after")].Disk = 1_000_448
 			return e
 		}},
+		{"a process that ends by itself", StaysUp, "n0", "ended by itself, code 2", func(t *testing.T, e events) events {
+			return append(e, history.Event{At: 9100 * ms, Kind: history.Proc, Relay: "n0", Life: 2, Note: history.Ended, Status: 2})
+		}},
+		{"a process that ends badly when asked to", StaysUp, "n0", "ended by itself, code 1", func(t *testing.T, e events) events {
+			return append(e, history.Event{At: 9050 * ms, Kind: history.Proc, Relay: "n0", Life: 2, Note: history.Term},
+				history.Event{At: 9100 * ms, Kind: history.Proc, Relay: "n0", Life: 2, Note: history.Ended, Status: 1})
+		}},
 		{"descriptors that stay", NoLeak, "n0", "descriptors before the load", func(t *testing.T, e events) events {
 			e[find(t, e, history.Sample, "after")].Descriptors = 29
 			return e
--- a/internal/trial/ground.go
+++ b/internal/trial/ground.go
@@ -187,6 +187,11 @@
 		err = cause
 	}
 	if err != nil {
+		// A relay that crashed or does not start again is what the trial was played for, not a trial that failed.
+		if v := check.Check(header.Rules, g.rec.Events()); ctx.Err() == nil && v.Broke(check.StaysUp) {
+			res.Verdict, res.Figures = v, report.Make(header, g.rec.Events())
+			return nil
+		}
 		return fmt.Errorf("%w: %w", ErrNotPlayed, err)
 	}
 	g.settle()
@@ -351,6 +356,9 @@
 		r.current = nil
 		r.mu.Unlock()
 		for _, l := range all {
+			if l.Running() {
+				g.rec.Add(history.Event{Kind: history.Proc, Relay: r.Name, Life: l.number, Note: history.Kill})
+			}
 			l.End()
 		}
 	}
--- a/internal/trial/history/history.go
+++ b/internal/trial/history/history.go
@@ -56,6 +56,7 @@
 	Ended     = "ended"
 	Successor = "successor started"
 	TookOver  = "took over"
+	PortTaken = "its port was taken by others" // a start that is tried again
 )
 
 // Event is one thing that somebody saw. Times are in microseconds since the trial began.
--- a/internal/trial/relay.go
+++ b/internal/trial/relay.go
@@ -223,6 +223,7 @@
 		if l.Running() || !r.logHas(l, "address already in use") {
 			break
 		}
+		r.g.rec.Add(history.Event{Kind: history.Proc, Relay: r.Name, Life: l.number, Note: history.PortTaken})
 	}
 	return err
 }
--- a/internal/trial/trial_test.go
+++ b/internal/trial/trial_test.go
@@ -180,6 +180,7 @@
 			{relay, "func (r *Relay) retire(m *message) {", "func (r *Relay) retire(m *message) {\n\tkept = append(kept, make([]byte, 256<<10)) // never let go\n\tfor i := range kept[len(kept)-1] {\n\t\tkept[len(kept)-1][i] = 1\n\t}"}}, nil},
 		{check.DiskBound, "calm", []change{{wal, "\tif l.size+int64(len(all)) > l.share(compactShare) {", "\tif l.size+int64(len(all)) > 1<<40 {"},
 			{wal, "\tif l.size+int64(len(all)) > l.limit-2*block {", "\tif l.size+int64(len(all)) > 1<<40 {"}}, nil},
+		{check.StaysUp, "calm", []change{{relay, "func (r *Relay) retire(m *message) {", "func (r *Relay) retire(m *message) {\n\tif r.lastID > 30 {\n\t\tpanic(\"broken on purpose\")\n\t}"}}, nil},
 		{check.NoLeak, "calm", []change{{relay, "func (r *Relay) retire(m *message) {", "func (r *Relay) retire(m *message) {\n\tif f, err := os.Open(os.DevNull); err == nil && len(kept) < 100 {\n\t\tkept = append(kept, f)\n\t}"},
 			{relay, "func (r *Relay) notify(m *message) {", "var kept []*os.File\n\nfunc (r *Relay) notify(m *message) {"},
 			{relay, "\t\"net/http\"\n", "\t\"net/http\"\n\t\"os\"\n"}}, nil},
