--- a/internal/trial/relay.go
+++ b/internal/trial/relay.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"io/fs"
 	"net"
 	"net/http"
 	"os"
@@ -426,7 +427,8 @@
 	r.mu.Unlock()
 	for _, l := range all {
 		if u, err := l.Usage(); err != nil {
-			if l.Running() {
+			// One that ended meanwhile is nowhere to be looked at: whether it was to is judged by the history.
+			if l.Running() && !errors.Is(err, fs.ErrNotExist) && !errors.Is(err, syscall.ESRCH) {
 				r.g.unsound(fmt.Errorf("%s: a process could not be looked at: %w", r.Name, err))
 			}
 		} else {
