--- a/internal/trial/trial_test.go
+++ b/internal/trial/trial_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"errors"
 	"net"
 	"os"
@@ -45,8 +46,10 @@
 		lasting        time.Duration
 	}{
 		{"partner-outage", "berth", 102, 20 * time.Second}, // calls from before a cut came out after it
+		{"partner-outage", "berth", 302, 20 * time.Second}, // a wait was told in an answer that its relay had given up on
+		{"relay-freeze", "small", 5, 5 * time.Second},      // a message lay before a frozen relay
 	} {
-		t.Run(c.scenario, func(t *testing.T) {
+		t.Run(fmt.Sprintf("%s-%d", c.scenario, c.seed), func(t *testing.T) {
 			t.Parallel()
 			for _, v := range mustPlay(t, c.scenario, options(t, relay, c.load, c.seed, c.lasting)).Verdict.Violations {
 				t.Error(v)
