--- /dev/null
+++ b/cmd/wallflow/endpoint.go
@@ -0,0 +1,196 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"wallflow/internal/catalog"
+	"wallflow/internal/listsvc/client"
+)
+
+const editsMost = 10 // times that an edit begins anew, since others wrote meanwhile
+
+func newEndpoint(a *app) *cobra.Command {
+	c := &cobra.Command{
+		Use:   "endpoint",
+		Short: "Shows and edits the list of endpoints",
+		Example: `  wallflow endpoint list --cell 3
+  wallflow endpoint add s-b2fde1 --addr 10.1.0.18:3000 --zone a --kind m2 --cell 3 --weight 40
+  wallflow endpoint drain s-b2fde1
+  wallflow endpoint remove s-b2fde1`,
+	}
+	for _, sub := range []*cobra.Command{newEndpointList(a), newEndpointAdd(a), newEndpointDrain(a), newEndpointRemove(a)} {
+		a.servers(sub)
+		c.AddCommand(sub)
+	}
+	return c
+}
+
+// withClient runs a command for people against the list service.
+func (a *app) withClient(cmd *cobra.Command, do func(ctx context.Context, c *client.Client, out io.Writer) error) error {
+	ctx, cancel := context.WithTimeout(cmd.Context(), commandFor)
+	defer cancel()
+	c := client.New(a.Server...)
+	defer c.Close()
+	return do(ctx, c, cmd.OutOrStdout())
+}
+
+func newEndpointList(a *app) *cobra.Command {
+	var asJSON, consistent bool
+	var cell int
+	c := &cobra.Command{
+		Use:   "list",
+		Short: "Shows the endpoints",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return a.withClient(cmd, func(ctx context.Context, c *client.Client, out io.Writer) error {
+				l, h, err := c.List(ctx, consistent)
+				if err != nil {
+					return err
+				}
+				if cell >= 0 {
+					l.Servers = slices.DeleteFunc(l.Servers, func(e catalog.Entry) bool { return e.Cell != cell })
+				}
+				if asJSON {
+					e := json.NewEncoder(out)
+					e.SetIndent("", "  ")
+					return e.Encode(l)
+				}
+				w := tabwriter.NewWriter(out, 0, 8, 2, ' ', 0)
+				fmt.Fprintln(w, "cell\tid\taddress\tzone\tkind\tstate\tweight\tsince")
+				slices.SortStableFunc(l.Servers, func(x, y catalog.Entry) int { return x.Cell - y.Cell })
+				for _, e := range l.Servers {
+					since := "-"
+					if e.StartedMS > 0 {
+						since = time.UnixMilli(e.StartedMS).UTC().Format("2006-01-02 15:04:05")
+					}
+					fmt.Fprintf(w, "%d\t%s\t%s\t%s\t%s\t%s\t%g\t%s\n", e.Cell, e.ID, e.Addr, e.Zone, e.Kind, e.State, e.Weight, since)
+				}
+				w.Flush()
+				fmt.Fprintf(out, "version %d of list %s, %d entries; server %s, %s ms old\n", l.Version, h.Get("X-Catalog-Cluster"), len(l.Servers),
+					h.Get("X-Catalog-Server"), h.Get("X-Catalog-Age-Ms"))
+				return nil
+			})
+		},
+	}
+	f := c.Flags()
+	f.BoolVar(&asJSON, "json", false, "as JSON, in the platform's form")
+	f.BoolVar(&consistent, "consistent", false, "with all that was acknowledged before; needs a server that leads")
+	f.IntVar(&cell, "cell", -1, "those of one partner alone")
+	return c
+}
+
+func newEndpointAdd(a *app) *cobra.Command {
+	e := catalog.Entry{State: catalog.Ready}
+	c := &cobra.Command{
+		Use:   "add ID",
+		Short: "Adds an endpoint, or gives one that is there other values",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			e.ID = args[0]
+			if err := e.Check(); err != nil { // before anything is sent
+				return err
+			}
+			return a.withClient(cmd, func(ctx context.Context, c *client.Client, out io.Writer) error {
+				r, err := c.Write(ctx, nil, catalog.Change{Entry: e})
+				return told(out, e.ID, "is on the list", r, err)
+			})
+		},
+	}
+	f := c.Flags()
+	f.StringVar(&e.Addr, "addr", "", "host:port")
+	f.StringVar(&e.Zone, "zone", "", "zone")
+	f.StringVar(&e.Kind, "kind", "", "kind")
+	f.IntVar(&e.Cell, "cell", -1, "number of the partner")
+	f.Float64Var(&e.Weight, "weight", 1, "weight")
+	f.Int64Var(&e.StartedMS, "started-ms", 0, "when it started, in ms since 1970; 0: not told")
+	for _, name := range []string{"addr", "zone", "kind", "cell"} {
+		if err := c.MarkFlagRequired(name); err != nil {
+			panic(err) // a slip of the pen above
+		}
+	}
+	return c
+}
+
+func told(out io.Writer, id, what string, r catalog.Result, err error) error {
+	if err != nil {
+		return fmt.Errorf("%s: %w", id, err)
+	}
+	if r.Changed == 0 {
+		what += " (and was so before)"
+	}
+	fmt.Fprintf(out, "%s %s; version %d\n", id, what, r.Version)
+	return nil
+}
+
+// edit changes an entry as it stands now: who wrote meanwhile is not overwritten.
+func edit(ctx context.Context, c *client.Client, id string, change func(catalog.Entry) (catalog.Change, error)) (catalog.Result, error) {
+	for range editsMost {
+		l, _, err := c.List(ctx, true)
+		if err != nil {
+			return catalog.Result{}, err
+		}
+		i := slices.IndexFunc(l.Servers, func(e catalog.Entry) bool { return e.ID == id })
+		if i < 0 {
+			return catalog.Result{}, errors.New("there is no such endpoint")
+		}
+		ch, err := change(l.Servers[i])
+		if err != nil {
+			return catalog.Result{}, err
+		}
+		r, err := c.Write(ctx, &l.Version, ch)
+		var no *client.Refused
+		if !errors.As(err, &no) || no.Status != http.StatusPreconditionFailed {
+			return r, err
+		}
+	}
+	return catalog.Result{}, fmt.Errorf("others changed the list %d times meanwhile: try again", editsMost)
+}
+
+func newEndpointDrain(a *app) *cobra.Command {
+	return &cobra.Command{
+		Use:   "drain ID",
+		Short: "Has relays begin nothing new with an endpoint",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			return a.withClient(cmd, func(ctx context.Context, c *client.Client, out io.Writer) error {
+				r, err := edit(ctx, c, args[0], func(e catalog.Entry) (catalog.Change, error) {
+					e.State = catalog.Draining
+					return catalog.Change{Entry: e}, nil
+				})
+				return told(out, args[0], "drains", r, err)
+			})
+		},
+	}
+}
+
+func newEndpointRemove(a *app) *cobra.Command {
+	var force bool
+	c := &cobra.Command{
+		Use:   "remove ID",
+		Short: "Takes an endpoint that drains off the list",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			return a.withClient(cmd, func(ctx context.Context, c *client.Client, out io.Writer) error {
+				r, err := edit(ctx, c, args[0], func(e catalog.Entry) (catalog.Change, error) {
+					if e.State != catalog.Draining && !force {
+						return catalog.Change{}, fmt.Errorf("it is %s: drain it first, so that relays end what they have with it, or remove it with --force", e.State)
+					}
+					return catalog.Change{Entry: catalog.Entry{ID: e.ID}, Remove: true}, nil
+				})
+				return told(out, args[0], "is removed", r, err)
+			})
+		},
+	}
+	c.Flags().BoolVar(&force, "force", false, "also where it does not drain")
+	return c
+}
--- a/cmd/wallflow/main.go
+++ b/cmd/wallflow/main.go
@@ -64,6 +64,8 @@
 		For   units.Duration
 		Dir   string
 	}
+	Serve  serveSettings
+	Server []string // addresses of list servers, for commands that ask them
 }
 
 // app is what all subcommands share.
@@ -77,11 +79,13 @@
 	a := &app{}
 	root := &cobra.Command{
 		Use:   "wallflow",
-		Short: "Plays trials of the message relay: real processes with faults between them",
+		Short: "The fleet around the message relay: list servers, and trials of real processes with faults between them",
 		Long: `wallflow is the product's command.
 
 Exit codes: 0 all held, 1 an invariant broke, 2 wrong use or what was asked for could not be done.`,
-		Example: `  wallflow trial run berth
+		Example: `  wallflow serve
+  wallflow endpoint list
+  wallflow trial run berth
   wallflow trial list
   wallflow version`,
 		SilenceUsage: true, SilenceErrors: true,
@@ -95,7 +99,7 @@
 		return fmt.Errorf("%w; see `%s --help`", err, cmd.CommandPath())
 	})
 	root.CompletionOptions.HiddenDefaultCmd = true
-	root.AddCommand(newVersion(), newTrial(a))
+	root.AddCommand(newVersion(), newTrial(a), newServe(a), newEndpoint(a), newSnapshot(a))
 	return root
 }
 
@@ -128,12 +132,25 @@
 func (a *app) take(cmd *cobra.Command, file settings) {
 	for flag, to := range map[string][2]*string{
 		"log-format": {&a.Log.Format, &file.Log.Format}, "log-level": {&a.Log.Level, &file.Log.Level},
+		"name": {&a.Serve.Name, &file.Serve.Name}, "listen": {&a.Serve.Listen, &file.Serve.Listen}, "raft": {&a.Serve.Raft, &file.Serve.Raft},
 		"relay": {&a.Trial.Relay, &file.Trial.Relay}, "load": {&a.Trial.Load, &file.Trial.Load}, "dir": {&a.Trial.Dir, &file.Trial.Dir},
 	} {
 		if *to[1] != "" && !cmd.Flags().Changed(flag) {
 			*to[0] = *to[1]
 		}
 	}
+	if len(file.Server) > 0 && !cmd.Flags().Changed("server") {
+		a.Server = file.Server
+	}
+	s := file.Serve // what has no flag is the file's
+	s.Name, s.Listen, s.Raft = a.Serve.Name, a.Serve.Listen, a.Serve.Raft
+	if s.Dir == "" || cmd.Flags().Changed("dir") {
+		s.Dir = a.Serve.Dir
+	}
+	if len(s.Join) == 0 || cmd.Flags().Changed("join") {
+		s.Join = a.Serve.Join
+	}
+	a.Serve = s
 	if file.Trial.For.Duration > 0 && !cmd.Flags().Changed("for") {
 		a.Trial.For = file.Trial.For
 	}
--- a/internal/listsvc/http.go
+++ b/internal/listsvc/http.go
@@ -7,16 +7,19 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"wallflow/internal/catalog"
 )
 
 const (
-	bodyMost     = 1 << 20         // of a write
+	bodyMost     = 1 << 20 // of a write
+	watchesMost  = 8192
 	lineEach     = 2 * time.Second // a watch has a line at least so often
 	gatherFor    = 20 * time.Millisecond
 	slowFor      = 3 * time.Second // a watcher that takes nothing for so long is ended
@@ -49,6 +52,7 @@
 	log     *slog.Logger
 	forward *http.Client
 	over    context.Context // ends the watches with the server
+	watches atomic.Int64
 }
 
 // NewFace returns the face of a server. Watches end with ctx.
@@ -88,6 +92,12 @@
 	json.NewEncoder(w).Encode(p)
 }
 
+// unknown answers a write of which nobody can say whether it was taken on.
+func (f *Face) unknown(w http.ResponseWriter, err error) {
+	w.Header().Set("X-Outcome", "unknown")
+	f.fail(w, http.StatusServiceUnavailable, err)
+}
+
 // stand tells with an answer what it was answered from.
 func (f *Face) stand(w http.ResponseWriter, s Status) {
 	h := w.Header()
@@ -144,6 +154,11 @@
 
 // watch writes what changes, as it changes, a line at a time.
 func (f *Face) watch(w http.ResponseWriter, r *http.Request, cluster string, version int64) {
+	defer f.watches.Add(-1)
+	if f.watches.Add(1) > watchesMost {
+		f.fail(w, http.StatusServiceUnavailable, fmt.Errorf("this server has its %d watches", watchesMost))
+		return
+	}
 	out := http.NewResponseController(w)
 	f.stand(w, f.machine.Status())
 	enc := json.NewEncoder(w)
@@ -280,6 +295,8 @@
 		f.stand(w, f.machine.Status())
 		w.Header().Set("X-Catalog-Version", strconv.FormatInt(res.Version, 10))
 		json.NewEncoder(w).Encode(res)
+	case errors.Is(err, ErrUnknown):
+		f.unknown(w, err)
 	case errors.Is(err, ErrNoLeader):
 		f.elsewhere(w, r, data, err)
 	case errors.Is(err, catalog.ErrVersion):
@@ -288,7 +305,7 @@
 		f.fail(w, http.StatusUnprocessableEntity, err)
 	case errors.Is(err, catalog.ErrTooMany), errors.Is(err, catalog.ErrExhausted):
 		f.fail(w, http.StatusInsufficientStorage, err)
-	case errors.Is(err, context.DeadlineExceeded), errors.Is(err, ErrNotFounded):
+	case errors.Is(err, ErrNotFounded):
 		f.fail(w, http.StatusServiceUnavailable, err)
 	default:
 		f.fail(w, http.StatusBadRequest, err)
@@ -317,12 +334,17 @@
 	}
 	req.Header.Set(forwardedBy, f.name)
 	res, err := f.forward.Do(req)
+	var dial *net.OpError
+	if err != nil && r.Method != http.MethodGet && !(errors.As(err, &dial) && dial.Op == "dial") {
+		f.unknown(w, fmt.Errorf("%w (the leader at %s: %w)", ErrUnknown, leader, err))
+		return
+	}
 	if err != nil {
 		f.fail(w, http.StatusServiceUnavailable, fmt.Errorf("%w: the leader at %s: %w", why, leader, err))
 		return
 	}
 	defer res.Body.Close()
-	for _, name := range []string{"Content-Type", "Retry-After", "X-Catalog-Version", "X-Catalog-Cluster", "X-Catalog-Age-Ms", "X-Catalog-Server"} {
+	for _, name := range []string{"Content-Type", "Retry-After", "X-Outcome", "X-Catalog-Version", "X-Catalog-Cluster", "X-Catalog-Age-Ms", "X-Catalog-Server"} {
 		if v := res.Header.Get(name); v != "" {
 			w.Header().Set(name, v)
 		}
--- a/internal/listsvc/machine.go
+++ b/internal/listsvc/machine.go
@@ -3,10 +3,13 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"sync"
 
 	"github.com/hashicorp/raft"
@@ -16,8 +19,10 @@
 
 // The kinds of command in raft's log.
 const (
-	cmdFound = "found" // gives the cluster its id, once
-	cmdWrite = "write"
+	cmdFound  = "found" // gives the cluster its id, once, and names its first servers
+	cmdWrite  = "write"
+	cmdServer = "server" // a server that joined, or has other addresses now
+	cmdLeft   = "left"   // one that was removed
 )
 
 // command is an entry of raft's log. A server of an older build that does not know a kind stops: to pass it over would be to
@@ -25,9 +30,19 @@
 type command struct {
 	Kind    string         `json:"kind"`
 	Cluster string         `json:"cluster,omitempty"`
+	Servers []Peer         `json:"servers,omitempty"`
 	Write   *catalog.Write `json:"write,omitempty"`
 }
 
+// Peer is a server of the cluster. Its id was drawn when its folder was new, and goes with the folder: one that comes back
+// under its name with an empty folder is another server, which must not vote a second time in the old one's place.
+type Peer struct {
+	ID   string `json:"id"`
+	Name string `json:"name"`
+	HTTP string `json:"http"`
+	Raft string `json:"raft"`
+}
+
 // Errors of a command that was applied and turned down. They are part of the state's history: every server has the same.
 var (
 	ErrFounded    = errors.New("the cluster has an id already")
@@ -46,6 +61,8 @@
 
 	mu      sync.RWMutex
 	cat     *catalog.Catalog // nil: not founded
+	servers map[string]Peer  // by id
+	left    map[string]bool  // ids that were removed, for good
 	index   uint64           // of the last command applied
 	changed chan struct{}    // closed and replaced with each change
 }
@@ -54,7 +71,7 @@
 
 // NewMachine returns the machine of a server that has seen nothing yet.
 func NewMachine(keep int) *Machine {
-	return &Machine{keep: keep, changed: make(chan struct{})}
+	return &Machine{keep: keep, servers: map[string]Peer{}, left: map[string]bool{}, changed: make(chan struct{})}
 }
 
 // Apply carries a command out. A command that cannot be read is no command of this build's, and going on would part this
@@ -74,8 +91,18 @@
 		return outcome{err: fmt.Errorf("%w: %s", ErrFounded, m.cat.Cluster())}
 	case c.Kind == cmdFound:
 		m.cat = catalog.New(c.Cluster, m.keep)
+		m.join(c.Servers)
 		m.wake()
 		return outcome{}
+	case c.Kind == cmdServer:
+		m.join(c.Servers)
+		return outcome{}
+	case c.Kind == cmdLeft:
+		for _, p := range c.Servers {
+			delete(m.servers, p.ID)
+			m.left[p.ID] = true
+		}
+		return outcome{}
 	case c.Kind == cmdWrite && c.Write != nil && m.cat == nil:
 		return outcome{err: ErrNotFounded}
 	case c.Kind == cmdWrite && c.Write != nil:
@@ -88,6 +115,36 @@
 	panic(fmt.Sprintf("log entry %d: kind %q: this build cannot follow the cluster", l.Index, c.Kind))
 }
 
+func (m *Machine) join(all []Peer) {
+	for _, p := range all {
+		m.servers[p.ID] = p
+	}
+}
+
+// Servers are those of the cluster, by name.
+func (m *Machine) Servers() []Peer {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return slices.SortedFunc(maps.Values(m.servers), byName)
+}
+
+func byName(a, b Peer) int { return cmp.Or(cmp.Compare(a.Name, b.Name), cmp.Compare(a.ID, b.ID)) }
+
+// Left tells whether a server was removed.
+func (m *Machine) Left(id string) bool {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.left[id]
+}
+
+// Server returns a server by its id.
+func (m *Machine) Server(id string) (Peer, bool) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	p, ok := m.servers[id]
+	return p, ok
+}
+
 // wake tells all who wait that there is something new.
 func (m *Machine) wake() {
 	close(m.changed)
@@ -141,13 +198,15 @@
 type state struct {
 	Index   uint64            `json:"index"`
 	Catalog *catalog.Snapshot `json:"catalog"` // nil: not founded
+	Servers []Peer            `json:"servers,omitempty"`
+	Left    []string          `json:"left,omitempty"`
 }
 
 // Snapshot copies the state; writing it out does not hold the machine up.
 func (m *Machine) Snapshot() (raft.FSMSnapshot, error) {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
-	s := state{Index: m.index}
+	s := state{Index: m.index, Servers: slices.SortedFunc(maps.Values(m.servers), byName), Left: slices.Sorted(maps.Keys(m.left))}
 	if m.cat != nil {
 		c := m.cat.Snapshot()
 		s.Catalog = &c
@@ -155,6 +214,14 @@
 	return &s, nil
 }
 
+// with returns the state as it is but for the list, as Restore reads it.
+func (m *Machine) with(cat *catalog.Catalog, index uint64) ([]byte, error) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	c := cat.Snapshot()
+	return json.Marshal(state{Index: index, Catalog: &c, Servers: slices.SortedFunc(maps.Values(m.servers), byName), Left: slices.Sorted(maps.Keys(m.left))})
+}
+
 // Persist writes the state out.
 func (s *state) Persist(sink raft.SnapshotSink) error {
 	if err := json.NewEncoder(sink).Encode(s); err != nil {
@@ -184,7 +251,11 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.cat, m.index = cat, s.Index
+	m.cat, m.index, m.servers, m.left = cat, s.Index, map[string]Peer{}, map[string]bool{}
+	m.join(s.Servers)
+	for _, id := range s.Left {
+		m.left[id] = true
+	}
 	m.wake()
 	return nil
 }
--- a/internal/trial/trial_test.go
+++ b/internal/trial/trial_test.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
-	"fmt"
 	"errors"
+	"fmt"
 	"net"
 	"os"
 	"path/filepath"
