Add the agent: the last list and the notices on its own disk, in the platform's protocol

Need: relays live by whatever tells them the list, and a list service that is away must not be noticed by them.

Change: wallflow agent follows any list server and never goes back, changes over with drawn pauses, keeps the last list whole with a checksum, serves from it without any server, and sets a damaged one aside. A list of another cluster with less than half of the entries is not taken on until a person says so.

--- /dev/null
+++ b/cmd/wallflow/agent.go
@@ -0,0 +1,116 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"wallflow/internal/agent"
+	"wallflow/internal/units"
+)
+
+// agentSettings are the configuration's section for an agent.
+type agentSettings struct {
+	Listen string
+	Dir    string
+	Finals string      // address that takes the notices
+	Spool  units.Bytes // of notices, at most
+	TakeOn string      `toml:"take_on"`
+}
+
+func newAgent(a *app) *cobra.Command {
+	c := &cobra.Command{
+		Use:   "agent",
+		Short: "Runs the agent beside a relay: the list, and the notices, whether the service is there or not",
+		Long: `Runs an agent until SIGTERM. It follows any of the list servers and changes over where one is silent or behind, keeps the last list
+on disk, and serves the relay from there. Notices are answered for once they lie on this machine's disk, and handed on in
+their order, each at least once.
+
+The relay's ROUTER_DISCOVERY is the agent's address.`,
+		Example: `  wallflow agent --server 127.0.0.1:7600,127.0.0.1:7610,127.0.0.1:7620 --finals 127.0.0.1:7700
+  wallflow agent status`,
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			s := a.Agent
+			g, err := agent.Open(agent.Options{Dir: s.Dir, Listen: s.Listen, Servers: a.Server, Finals: s.Finals, Spool: s.Spool.N, TakeOn: s.TakeOn, Log: a.log})
+			if err != nil {
+				return fmt.Errorf("agent: %w", err)
+			}
+			if err := g.Run(cmd.Context()); err != nil {
+				return fmt.Errorf("agent: %w", err)
+			}
+			return nil
+		},
+	}
+	f := c.Flags()
+	f.StringVar(&a.Agent.Dir, "dir", "wallflow-agent", "folder of its list and of notices")
+	f.StringVar(&a.Agent.Listen, "listen", "127.0.0.1:7500", "address for the relay")
+	f.StringVar(&a.Agent.Finals, "finals", "", "address that takes the notices (default: they are kept)")
+	f.StringVar(&a.Agent.TakeOn, "take-on", "", "id of a list to be taken on though it has far fewer entries than the one that is held")
+	a.servers(c)
+	c.AddCommand(newAgentStatus())
+	return c
+}
+
+func newAgentStatus() *cobra.Command {
+	var at string
+	var asJSON bool
+	c := &cobra.Command{
+		Use:   "status",
+		Short: "Shows what an agent holds, and whom it follows",
+		Long: `Shows what an agent holds, and whom it follows.
+
+Exit codes: 0 it follows a server and has a list; 1 it does not; 2 it does not answer.`,
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			ctx, cancel := context.WithTimeout(cmd.Context(), commandFor)
+			defer cancel()
+			req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+at+"/agent/status", nil)
+			if err != nil {
+				return err
+			}
+			res, err := http.DefaultClient.Do(req)
+			if err != nil {
+				return err
+			}
+			defer res.Body.Close()
+			var r agent.Report
+			if err := json.NewDecoder(res.Body).Decode(&r); err != nil || res.StatusCode != http.StatusOK {
+				return errors.Join(fmt.Errorf("%s answers %s", at, res.Status), err)
+			}
+			out := cmd.OutOrStdout()
+			if asJSON {
+				e := json.NewEncoder(out)
+				e.SetIndent("", "  ")
+				if err := e.Encode(r); err != nil {
+					return err
+				}
+			} else {
+				following, heard := r.Following, "never"
+				if following == "" {
+					following = "nobody just now"
+				}
+				if r.HeardMS >= 0 {
+					heard = (time.Duration(r.HeardMS) * time.Millisecond).String() + " ago"
+				}
+				fmt.Fprintf(out, "list      %s, version %d, %d entries\nfollows   %s; heard %s\nrelays    %d watch\nnotices   %d requests wait (%d bytes), %d handed on since the start\n",
+					r.List, r.Version, r.Entries, following, heard, r.Watches, r.Waiting, r.Spooled, r.Handed)
+				if r.Refusal != "" {
+					fmt.Fprintln(out, "!", r.Refusal)
+				}
+			}
+			if r.List == "" || r.Following == "" || r.Refusal != "" {
+				return errBroken
+			}
+			return nil
+		},
+	}
+	c.Flags().StringVar(&at, "agent", "127.0.0.1:7500", "address of the agent")
+	c.Flags().BoolVar(&asJSON, "json", false, "as JSON")
+	return c
+}
--- a/cmd/wallflow/main.go
+++ b/cmd/wallflow/main.go
@@ -65,6 +65,7 @@
 		Dir   string
 	}
 	Serve  serveSettings
+	Agent  agentSettings
 	Server []string // addresses of list servers, for commands that ask them
 }
 
@@ -99,7 +100,7 @@
 		return fmt.Errorf("%w; see `%s --help`", err, cmd.CommandPath())
 	})
 	root.CompletionOptions.HiddenDefaultCmd = true
-	root.AddCommand(newVersion(), newTrial(a), newServe(a), newEndpoint(a), newSnapshot(a))
+	root.AddCommand(newVersion(), newTrial(a), newServe(a), newAgent(a), newEndpoint(a), newSnapshot(a))
 	return root
 }
 
@@ -151,6 +152,13 @@
 		s.Join = a.Serve.Join
 	}
 	a.Serve = s
+	for flag, to := range map[string][2]*string{"dir": {&a.Agent.Dir, &file.Agent.Dir}, "listen": {&a.Agent.Listen, &file.Agent.Listen},
+		"finals": {&a.Agent.Finals, &file.Agent.Finals}, "take-on": {&a.Agent.TakeOn, &file.Agent.TakeOn}} {
+		if *to[1] != "" && !cmd.Flags().Changed(flag) {
+			*to[0] = *to[1]
+		}
+	}
+	a.Agent.Spool = file.Agent.Spool
 	if file.Trial.For.Duration > 0 && !cmd.Flags().Changed("for") {
 		a.Trial.For = file.Trial.For
 	}
--- /dev/null
+++ b/internal/agent/agent_test.go
@@ -0,0 +1,496 @@
+package agent
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"maps"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"wallflow/internal/catalog"
+	"wallflow/internal/listsvc"
+)
+
+func entry(id string, weight float64) catalog.Entry {
+	return catalog.Entry{ID: id, Addr: "127.0.0.1:9", Zone: "a", Kind: "m", Cell: 1, State: catalog.Ready, Weight: weight}
+}
+
+// However the mirror follows the catalog, and however relays follow the mirror, all end with the catalog's list; and no line shows
+// an entry that is not as it stands.
+func TestAnyWayOfFollowingEndsWithTheList(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		cat := catalog.New("c1", 8)
+		m := NewMirror()
+		relays := make([]map[string]catalog.Entry, 3)
+		versions := make([]int64, len(relays))
+		listen := func(i int) {
+			if l, changed := m.Since(versions[i]); changed {
+				relays[i], versions[i] = catalog.Follow(relays[i], l), l.Version
+			}
+		}
+		follow := func() {
+			if l, changed := cat.Since(m.Version()); changed {
+				if _, err := m.Take("c1", l, ""); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			switch rapid.IntRange(0, 5).Draw(t, "what") {
+			case 0, 1, 2:
+				id := fmt.Sprintf("s-%d", rapid.IntRange(0, 5).Draw(t, "id"))
+				ch := catalog.Change{Entry: entry(id, float64(rapid.IntRange(1, 99).Draw(t, "weight")))}
+				ch.Remove = rapid.Bool().Draw(t, "remove")
+				if _, err := cat.Apply(catalog.Write{Changes: []catalog.Change{ch}}); err != nil {
+					t.Fatal(err)
+				}
+			case 3:
+				follow()
+			case 4:
+				listen(rapid.IntRange(0, len(relays)-1).Draw(t, "relay"))
+			case 5: // the agent starts again, from what it kept
+				n := NewMirror()
+				if s := m.save(); s.List != "" {
+					if err := n.load(s); err != nil {
+						t.Fatal(err)
+					}
+				}
+				m = n
+			}
+		}
+		if cat.Version() == 0 {
+			return
+		}
+		follow()
+		want := catalog.Follow(nil, cat.Whole())
+		for i := range relays {
+			listen(i)
+			if !maps.EqualFunc(relays[i], want, catalog.Entry.Equal) || versions[i] != cat.Version() {
+				t.Fatalf("relay %d has %v at version %d, the list is %v at %d", i, relays[i], versions[i], want, cat.Version())
+			}
+		}
+	})
+}
+
+func TestLinesThatAreNotTakenOn(t *testing.T) {
+	m := NewMirror()
+	whole := func(version int64, n int) catalog.List {
+		l := catalog.List{Version: version, Full: true}
+		for i := range n {
+			l.Servers = append(l.Servers, entry(fmt.Sprintf("s-%02d", i), 1))
+		}
+		return l
+	}
+	if _, err := m.Take("c1", catalog.List{Version: 3}, ""); !errors.Is(err, ErrPart) {
+		t.Errorf("changes to nothing: %v", err)
+	}
+	if changed, err := m.Take("c1", whole(5, 10), ""); err != nil || !changed {
+		t.Fatal(changed, err)
+	}
+	for _, c := range []struct {
+		list string
+		l    catalog.List
+		want error
+	}{
+		{"c1", whole(4, 10), ErrBehind}, {"c1", catalog.List{Version: 4}, ErrBehind}, {"c2", catalog.List{Version: 6}, ErrPart},
+		{"c2", whole(1, 0), ErrShrunk}, {"c2", whole(99, 4), ErrShrunk},
+	} {
+		if _, err := m.Take(c.list, c.l, ""); !errors.Is(err, c.want) || m.List() != "c1" || m.Version() != 5 || m.Len() != 10 {
+			t.Errorf("%s %+v: %v; held is version %d of %s", c.list, c.l, err, m.Version(), m.List())
+		}
+	}
+	if changed, err := m.Take("c2", whole(2, 5), ""); err != nil || !changed || m.List() != "c2" {
+		t.Errorf("half of it: %v %v", changed, err)
+	}
+	if l, changed := m.Since(5); !changed || !l.Full || l.Version != 2 {
+		t.Errorf("who had another list gets %+v", l)
+	}
+	if changed, err := m.Take("c3", whole(1, 0), "c3"); err != nil || !changed || m.Len() != 0 {
+		t.Errorf("a person said so: %v %v", changed, err)
+	}
+	if changed, err := m.Take("c3", whole(1, 0), ""); err != nil || changed {
+		t.Errorf("the same again: %v %v", changed, err)
+	}
+}
+
+// newService is a list server.
+func newService(t *testing.T) *listsvc.Server {
+	t.Helper()
+	l, err := listsvc.Open(listsvc.Options{Name: "l0", Dir: t.TempDir(), Listen: "127.0.0.1:0", Raft: "127.0.0.1:0", Beat: 200 * time.Millisecond})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- l.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+	return l
+}
+
+func put(t *testing.T, addr, id string, remove bool) {
+	t.Helper()
+	eventually(t, "a write of "+id, func() bool {
+		method, body := http.MethodPut, `{"addr":"127.0.0.1:9","zone":"a","kind":"m","cell":1,"state":"ready","weight":1,"started_ms":0}`
+		if remove {
+			method, body = http.MethodDelete, ""
+		}
+		req, err := http.NewRequest(method, "http://"+addr+"/catalog/members/"+id, strings.NewReader(body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		res, err := http.DefaultClient.Do(req)
+		if err != nil {
+			return false
+		}
+		res.Body.Close()
+		return res.StatusCode == http.StatusOK
+	})
+}
+
+func eventually(t *testing.T, what string, is func() bool) {
+	t.Helper()
+	for end := time.Now().Add(20 * time.Second); !is(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("never: " + what)
+		}
+	}
+}
+
+// running is an agent that runs.
+type running struct {
+	*Agent
+	stop func()
+}
+
+func run(t *testing.T, o Options) *running {
+	t.Helper()
+	o.Listen = "127.0.0.1:0"
+	a, err := Open(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- a.Run(ctx) }()
+	var once sync.Once
+	stop := func() {
+		once.Do(func() {
+			cancel()
+			if err := <-done; err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	t.Cleanup(stop)
+	return &running{a, stop}
+}
+
+func ids(t *testing.T, addr string) (all []string) {
+	t.Helper()
+	res, err := http.Get("http://" + addr + "/catalog/members")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		return nil
+	}
+	var l catalog.List
+	if err := json.NewDecoder(res.Body).Decode(&l); err != nil {
+		t.Fatal(err)
+	}
+	for _, e := range l.Servers {
+		all = append(all, e.ID)
+	}
+	return all
+}
+
+// An agent serves what the service told, goes on with it where the service is away, also from disk alone, and says what changed
+// meanwhile once it is back.
+func TestTheListOutlivesTheService(t *testing.T) {
+	l := newService(t)
+	put(t, l.Addr(), "s-1", false)
+	put(t, l.Addr(), "s-2", false)
+	dir := t.TempDir()
+	a := run(t, Options{Dir: dir, Servers: []string{"127.0.0.1:1", l.Addr()}, Seed: 1})
+	eventually(t, "the list", func() bool { return len(ids(t, a.Addr())) == 2 })
+	a.stop()
+	a = run(t, Options{Dir: dir, Servers: []string{"127.0.0.1:1"}, Seed: 2}) // nobody is there
+	if got := ids(t, a.Addr()); !slices.Equal(got, []string{"s-1", "s-2"}) {
+		t.Errorf("from disk alone: %v", got)
+	}
+	a.stop()
+	put(t, l.Addr(), "s-1", true)
+	put(t, l.Addr(), "s-3", false)
+	a = run(t, Options{Dir: dir, Servers: []string{l.Addr(), "127.0.0.1:1"}, Seed: 3})
+	version := a.Report().Version
+	res, err := http.Get(fmt.Sprintf("http://%s/catalog/members?stream=1&index=%d", a.Addr(), version))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer res.Body.Close()
+	lines := bufio.NewScanner(res.Body)
+	for lines.Scan() && strings.TrimSpace(lines.Text()) == "" {
+		continue
+	}
+	var got catalog.List
+	if err := json.Unmarshal(lines.Bytes(), &got); err != nil {
+		t.Fatal(err)
+	}
+	states := map[string]catalog.State{}
+	for _, e := range got.Servers {
+		states[e.ID] = e.State
+	}
+	if got.Full || states["s-1"] != catalog.Gone || states["s-3"] != catalog.Ready || len(states) != 2 {
+		t.Errorf("who had version %d was told %+v", version, got)
+	}
+	if r := a.Report(); r.Following != l.Addr() || r.Watches != 1 || r.HeardMS < 0 {
+		t.Errorf("%+v", r)
+	}
+}
+
+// A kept list that was damaged is set aside, and asked for whole.
+func TestADamagedListIsSetAside(t *testing.T) {
+	l := newService(t)
+	put(t, l.Addr(), "s-1", false)
+	dir := t.TempDir()
+	a := run(t, Options{Dir: dir, Servers: []string{l.Addr()}})
+	eventually(t, "the list", func() bool { return len(ids(t, a.Addr())) == 1 })
+	a.stop()
+	path := filepath.Join(dir, listFile)
+	whole, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range whole { // any byte
+		spoilt := slices.Clone(whole)
+		spoilt[i] ^= 1
+		if err := os.WriteFile(path, spoilt, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		b := &Agent{o: Options{Dir: dir}, log: slog.New(slog.DiscardHandler), mirror: NewMirror()}
+		if err := b.read(); err != nil || b.mirror.List() != "" {
+			t.Fatalf("byte %d: %v, and it holds %q", i, err, b.mirror.List())
+		}
+	}
+	aside, err := filepath.Glob(path + ".damaged-*")
+	if err != nil || len(aside) == 0 {
+		t.Fatal(aside, err)
+	}
+	a = run(t, Options{Dir: dir, Servers: []string{l.Addr()}})
+	eventually(t, "the list, whole", func() bool { return len(ids(t, a.Addr())) == 1 })
+}
+
+// taker takes notices, or does not.
+type taker struct {
+	*httptest.Server
+	mu     sync.Mutex
+	status int
+	bad    string // a notice that it turns down
+	lines  []string
+}
+
+func newTaker(t *testing.T) *taker {
+	k := &taker{status: http.StatusNoContent}
+	k.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body)
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		status := k.status
+		if k.bad != "" && bytes.Contains(body, []byte(k.bad)) {
+			status = http.StatusBadRequest
+		}
+		if err == nil && status == http.StatusNoContent {
+			for line := range strings.Lines(string(body)) {
+				k.lines = append(k.lines, strings.TrimSpace(line))
+			}
+		}
+		w.WriteHeader(status)
+	}))
+	t.Cleanup(k.Close)
+	return k
+}
+
+func (k *taker) addr() string { return strings.TrimPrefix(k.URL, "http://") }
+
+func (k *taker) is(status int) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.status = status
+}
+
+func (k *taker) got() []string {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return slices.Clone(k.lines)
+}
+
+func notice(i int) string { return fmt.Sprintf(`{"id":"m-%03d","status":"undeliverable"}`, i) }
+
+func post(t *testing.T, addr, body string) int {
+	t.Helper()
+	res, err := http.Post("http://"+addr+"/v2/finals", "application/json", strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	res.Body.Close()
+	return res.StatusCode
+}
+
+// Each notice that was answered for is handed on, in its order, at least once, over outages and restarts.
+func TestNoticesAreHandedOnInTheirOrder(t *testing.T) {
+	k := newTaker(t)
+	k.is(http.StatusServiceUnavailable)
+	o := Options{Dir: t.TempDir(), Servers: []string{"127.0.0.1:1"}, Finals: k.addr()}
+	a := run(t, o)
+	for i := range 20 {
+		if status := post(t, a.Addr(), notice(i)+"\n"); status != http.StatusNoContent {
+			t.Fatalf("status %d while nobody takes them", status)
+		}
+	}
+	a.stop()
+	a = run(t, o)
+	k.is(http.StatusNoContent)
+	for i := range 20 {
+		post(t, a.Addr(), notice(20+i))
+	}
+	eventually(t, "all of them", func() bool { n, _ := a.spool.figures(); return n == 0 })
+	var first []string // each as it came the first time
+	for _, line := range k.got() {
+		if !slices.Contains(first, line) {
+			first = append(first, line)
+		}
+	}
+	for i := range 40 {
+		if i >= len(first) || first[i] != notice(i) {
+			t.Fatalf("number %d of %d: %v", i, len(first), first)
+		}
+	}
+	if _, bytes := a.spool.figures(); bytes != 0 {
+		t.Errorf("%d bytes stay on disk", bytes)
+	}
+	for _, bad := range []string{"", "{", `{"id":"x","status":"lost"}`, `{"status":"deferred"}`, notice(1) + "\nnonsense"} {
+		if status := post(t, a.Addr(), bad); status != http.StatusBadRequest {
+			t.Errorf("%q: %d", bad, status)
+		}
+	}
+}
+
+// A notice that nobody will take holds up no other.
+func TestANoticeThatIsTurnedDown(t *testing.T) {
+	k := newTaker(t)
+	k.is(http.StatusServiceUnavailable)
+	k.bad = "m-001"
+	o := Options{Dir: t.TempDir(), Servers: []string{"127.0.0.1:1"}, Finals: k.addr()}
+	a := run(t, o)
+	for i := range 4 {
+		post(t, a.Addr(), notice(i))
+	}
+	k.is(http.StatusNoContent)
+	eventually(t, "the others", func() bool { n, _ := a.spool.figures(); return n == 0 })
+	if got := k.got(); !slices.Equal(got, []string{notice(0), notice(2), notice(3)}) {
+		t.Errorf("%v", got)
+	}
+	if data, err := os.ReadFile(filepath.Join(o.Dir, "turned-down")); err != nil || strings.TrimSpace(string(data)) != notice(1) {
+		t.Errorf("%q %v", data, err)
+	}
+}
+
+func TestASpoolThatIsFullTakesNoMore(t *testing.T) {
+	o := Options{Dir: t.TempDir(), Servers: []string{"127.0.0.1:1"}, Spool: 200}
+	a := run(t, o)
+	taken := 0
+	for i := range 10 {
+		switch status := post(t, a.Addr(), notice(i)); status {
+		case http.StatusNoContent:
+			taken++
+		case http.StatusServiceUnavailable:
+		default:
+			t.Errorf("status %d", status)
+		}
+	}
+	if _, bytes := a.spool.figures(); taken != 4 || bytes > 200 {
+		t.Errorf("%d taken, %d bytes", taken, bytes)
+	}
+}
+
+// Cut or damaged at any byte, a segment gives what comes before; the rest is set aside and not lost.
+func TestASegmentThatWasCut(t *testing.T) {
+	dir := t.TempDir()
+	s, err := openSpool(dir, 1<<20, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range 3 {
+		if err := s.add([]byte(notice(i))); err != nil {
+			t.Fatal(err)
+		}
+	}
+	path := s.path(1)
+	if err := s.close(); err != nil {
+		t.Fatal(err)
+	}
+	whole, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	size := len(whole) / 3
+	for i := range whole {
+		for _, data := range [][]byte{whole[:i], append(append(slices.Clone(whole[:i]), whole[i]^0x40), whole[i+1:]...)} {
+			if err := os.WriteFile(path, data, 0o600); err != nil {
+				t.Fatal(err)
+			}
+			s, err := openSpool(dir, 1<<20, slog.New(slog.DiscardHandler))
+			if err != nil {
+				t.Fatal(err)
+			}
+			all := s.next(1 << 20)
+			if len(all) != i/size {
+				t.Fatalf("byte %d of %d: %d records", i, len(data), len(all))
+			}
+			for n, r := range all {
+				if string(r) != notice(n) {
+					t.Fatalf("byte %d: record %d is %q", i, n, r)
+				}
+			}
+			if err := s.add([]byte(notice(9))); err != nil { // it goes on
+				t.Fatal(err)
+			}
+			if all := s.next(1 << 20); len(all) == 0 {
+				t.Fatal("nothing is handed on")
+			}
+			if err := s.close(); err != nil {
+				t.Fatal(err)
+			}
+			if err := os.Remove(s.path(s.rows[len(s.rows)-1].number)); err != nil {
+				t.Fatal(err)
+			}
+			if rest := len(data) - i/size*size; rest > 0 {
+				aside, err := os.ReadFile(path + ".damaged")
+				if err != nil || !bytes.Equal(aside, data[i/size*size:]) {
+					t.Fatalf("byte %d: set aside are %d bytes, %v", i, len(aside), err)
+				}
+			}
+		}
+	}
+}
--- a/internal/listsvc/http.go
+++ b/internal/listsvc/http.go
@@ -159,19 +159,33 @@
 		f.fail(w, http.StatusServiceUnavailable, fmt.Errorf("this server has its %d watches", watchesMost))
 		return
 	}
-	out := http.NewResponseController(w)
 	f.stand(w, f.machine.Status())
+	err := Stream(w, r, f.over, func() (catalog.List, bool, <-chan struct{}) {
+		l, changed, next := f.machine.Since(cluster, version)
+		if changed {
+			cluster, version = f.machine.clusterOf(l, cluster), l.Version
+		}
+		return l, changed, next
+	})
+	if err != nil {
+		f.log.Info("watch ended", "watcher", r.RemoteAddr, "version", version, "err", err)
+	}
+}
+
+// Stream answers a watch until the watcher goes, takes nothing for a while, or over ends: a line for what since returns as
+// changed, then for each change, and an empty one where there was none for long. What since returns last is closed once there may be more.
+func Stream(w http.ResponseWriter, r *http.Request, over context.Context, since func() (l catalog.List, changed bool, next <-chan struct{})) error {
+	out := http.NewResponseController(w)
 	enc := json.NewEncoder(w)
 	tick := time.NewTimer(lineEach)
 	defer tick.Stop()
 	for first := true; ; first = false {
-		l, changed, next := f.machine.Since(cluster, version)
+		l, changed, next := since()
 		out.SetWriteDeadline(time.Now().Add(slowFor))
 		var err error
 		switch {
 		case changed:
 			err = enc.Encode(l) // with its line's end
-			cluster, version = f.machine.clusterOf(l, cluster), l.Version
 		case !first:
 			_, err = io.WriteString(w, "\n")
 		}
@@ -179,21 +193,20 @@
 			err = out.Flush()
 		}
 		if err != nil {
-			f.log.Info("watch ended", "watcher", r.RemoteAddr, "version", version, "err", err)
-			return
+			return err
 		}
 		tick.Reset(lineEach)
 		select {
 		case <-next:
 			// What changes together travels together: a burst is a few lines, not one for each change.
-			if !pause(r.Context(), f.over, gatherFor) {
-				return
+			if !pause(r.Context(), over, gatherFor) {
+				return nil
 			}
 		case <-tick.C:
 		case <-r.Context().Done():
-			return
-		case <-f.over.Done():
-			return
+			return nil
+		case <-over.Done():
+			return nil
 		}
 	}
 }
