--- a/cmd/wallflow/trial.go
+++ b/cmd/wallflow/trial.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"time"
 
@@ -77,7 +78,7 @@
 				fmt.Fprintf(out, "  %-16s %s\n", name, l.About)
 			}
 			fmt.Fprintln(out, "invariants")
-			for _, name := range check.Names {
+			for _, name := range slices.Concat(check.Names, check.ListNames) {
 				fmt.Fprintf(out, "  %s\n", name)
 			}
 			fmt.Fprintln(out, "steps of a plan, and on whom")
@@ -145,7 +146,7 @@
 	if _, err := exec.LookPath(relay); err != nil {
 		return o, fmt.Errorf("--relay: %w (build it with the README's command)", err)
 	}
-	return trial.Options{Load: l, Seed: seed, For: a.Trial.For.Duration, Relay: relay, Log: a.log,
+	return trial.Options{Load: l, Seed: seed, For: a.Trial.For.Duration, Relay: relay, Program: self, Log: a.log,
 		Keeper: func() *exec.Cmd { return exec.Command(self, "trial", "keeper") }}, nil
 }
 
@@ -308,7 +309,10 @@
 		broken[x.Name]++
 	}
 	fmt.Fprintf(out, "judged   ")
-	for _, name := range check.Names {
+	for _, name := range slices.Concat(check.Names, check.ListNames) {
+		if _, ok := v.Judged[name]; !ok {
+			continue
+		}
 		fmt.Fprintf(out, " %s %d/%d", name, v.Judged[name]-min(broken[name], v.Judged[name]), v.Judged[name])
 	}
 	fmt.Fprintln(out)
--- a/internal/trial/check/check.go
+++ b/internal/trial/check/check.go
@@ -21,11 +21,19 @@
 	DiskBound      = "disk-bound"
 	NoLeak         = "no-leak"
 	StaysUp        = "stays-up"
+
+	// Of the list; see list.go.
+	AcknowledgedIsKept = "acknowledged-is-kept"
+	VersionsRise       = "versions-rise"
+	WatchIsWhole       = "watch-is-whole"
 )
 
 // Names are all invariants that this package judges, in the order of reports.
 var Names = []string{TakenIsEnded, NoSecondEffect, OwnEndpoints, DrainKept, WaitHeeded, MemoryFlat, DiskBound, NoLeak, StaysUp}
 
+// ListNames are those of the list servers, judged where there are any.
+var ListNames = []string{AcknowledgedIsKept, VersionsRise, WatchIsWhole}
+
 // The protocol's figures, in microseconds.
 const (
 	ms            = 1000
@@ -79,6 +87,8 @@
 	calls   map[int][]int // events of each call's messages
 	callEnd map[callKey]int
 	ends    int64 // the history's last moment
+
+	puts, reads, seen []int // of the list
 }
 
 type callKey struct {
@@ -132,6 +142,7 @@
 		j.figures(n, j.relays[n])
 		j.staysUp(n, j.relays[n])
 	}
+	j.list()
 	return j.out
 }
 
@@ -153,6 +164,12 @@
 			j.calls[e.Number] = append(j.calls[e.Number], i)
 		case history.Reply:
 			j.callEnd[callKey{e.Number, e.ID}] = i
+		case history.Put:
+			j.puts = append(j.puts, i)
+		case history.Confirmed:
+			j.reads = append(j.reads, i)
+		case history.Seen, history.Settle:
+			j.seen = append(j.seen, i)
 		case history.Heard:
 			r := j.relay(e.Relay)
 			r.waits = append(r.waits, i)
--- /dev/null
+++ b/internal/trial/check/list_test.go
@@ -0,0 +1,132 @@
+package check
+
+import (
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+
+	"wallflow/internal/trial/history"
+)
+
+// listing is a sound history of the list: two writers, a reader and two who follow.
+func listing() []history.Event {
+	put := func(from, to int64, who, id string, value int64, outcome string) history.Event {
+		return history.Event{At: to * ms, Kind: history.Put, Relay: who, ID: id, Value: value, Outcome: outcome, Began: from * ms}
+	}
+	read := func(from, to int64, values map[string]int64) history.Event {
+		return history.Event{At: to * ms, Kind: history.Confirmed, Relay: "r0", Values: values, Began: from * ms}
+	}
+	seen := func(at int64, who string, version int64, digest string) history.Event {
+		return history.Event{At: at * ms, Kind: history.Seen, Relay: who, Version: version, State: "c1", Note: digest}
+	}
+	settle := func(at int64, who string) history.Event {
+		return history.Event{At: at * ms, Kind: history.Settle, Relay: who, Version: 4, State: "c1", Note: "d4", Status: 1}
+	}
+	return []history.Event{
+		put(10, 20, "w0", "k-0", 1, history.OK), seen(25, "f0", 1, "d1"), seen(26, "f1", 1, "d1"),
+		read(30, 40, map[string]int64{"k-0": 1}),
+		put(35, 60, "w1", "k-1", 2, history.Broken), // nobody knows
+		put(45, 50, "w0", "k-0", 3, history.Refused),
+		read(70, 80, map[string]int64{"k-0": 1}),
+		put(90, 95, "w0", "k-0", 0, history.OK), seen(96, "f0", 2, "d2"),
+		read(100, 110, map[string]int64{"k-1": 2}), // it came late
+		put(120, 130, "w0", "k-0", 4, history.OK), seen(131, "f1", 4, "d4"), seen(132, "f0", 4, "d4"),
+		read(140, 150, map[string]int64{"k-0": 4, "k-1": 2}),
+		settle(160, "f0"), settle(161, "f1"),
+	}
+}
+
+func TestASoundListHolds(t *testing.T) {
+	v := Check(rules(), listing())
+	if !v.Held() || len(v.Excused) > 0 {
+		t.Fatalf("broken: %v, excused: %v", v.Violations, v.Excused)
+	}
+	if v.Judged[AcknowledgedIsKept] != 3 || v.Judged[VersionsRise] != 5 || v.Judged[WatchIsWhole] != 2 {
+		t.Errorf("%v", v.Judged)
+	}
+	if v := Check(rules(), sound()); v.Judged[WatchIsWhole] != 0 || len(v.Judged) != len(Names) {
+		t.Errorf("without list servers: %v", v.Judged)
+	}
+}
+
+func TestEachFaultOfAListIsFoundAndNamed(t *testing.T) {
+	nth := func(e []history.Event, kind history.Kind, n int) *history.Event {
+		for i := range e {
+			if e[i].Kind == kind {
+				if n == 0 {
+					return &e[i]
+				}
+				n--
+			}
+		}
+		t.Fatalf("no %s number %d", kind, n)
+		return nil
+	}
+	for _, c := range []struct {
+		what, name, id, text string
+		spoil                func(e []history.Event)
+	}{
+		{"an acknowledged write is lost", AcknowledgedIsKept, "k-0", "a confirmed read from 30 to 40 ms has value 0", func(e []history.Event) { nth(e, history.Confirmed, 0).Values = nil }},
+		{"a removed entry is back", AcknowledgedIsKept, "k-0", "a confirmed read from 100 to 110 ms has value 1", func(e []history.Event) { nth(e, history.Confirmed, 2).Values = map[string]int64{"k-0": 1, "k-1": 2} }},
+		{"a read goes back", AcknowledgedIsKept, "k-1", "a confirmed read from 140 to 150 ms has value 0", func(e []history.Event) { nth(e, history.Confirmed, 3).Values = map[string]int64{"k-0": 4} }},
+		{"a refused write is there", AcknowledgedIsKept, "k-0", "has value 3", func(e []history.Event) { nth(e, history.Confirmed, 1).Values = map[string]int64{"k-0": 3} }},
+		{"a version has two contents", VersionsRise, "f1", "version 1 has one content at f0 and another at f1", func(e []history.Event) { nth(e, history.Seen, 1).Note = "other" }},
+		{"a version goes back", VersionsRise, "f0", "it had version 9, and holds 4 after that", func(e []history.Event) { nth(e, history.Seen, 2).Version = 9 }},
+		{"one has another list at the end", WatchIsWhole, "f1", "it ends with version 3", func(e []history.Event) { nth(e, history.Settle, 1).Version = 3 }},
+		{"one has other entries at the end", WatchIsWhole, "f1", "or with other entries", func(e []history.Event) { nth(e, history.Settle, 1).Note = "other" }},
+		{"one never comes so far", WatchIsWhole, "f0", "it never came to the last version", func(e []history.Event) { nth(e, history.Settle, 0).Status = 0 }},
+	} {
+		e := slices.Clone(listing())
+		c.spoil(e)
+		v := Check(rules(), e)
+		for _, x := range v.Violations {
+			if x.Name != c.name || x.ID != c.id || !strings.Contains(x.Text, c.text) || len(x.Lines) == 0 {
+				t.Errorf("%s: %v", c.what, x)
+			}
+		}
+		if len(v.Violations) != 1 {
+			t.Errorf("%s: %d breaches", c.what, len(v.Violations))
+		}
+	}
+	// Another list has versions of its own.
+	e := listing()
+	other := *nth(e, history.Seen, 4)
+	other.At, other.State, other.Version, other.Note = other.At+1, "c2", 1, "d9"
+	if v := Check(rules(), slices.Insert(e, len(e)-3, other)); v.Broke(VersionsRise) {
+		t.Errorf("%v", v.Violations)
+	}
+}
+
+// Whatever really happened in some order is accepted, however the calls overlap; a value from nowhere never is.
+func TestAnyRealOrderIsAccepted(t *testing.T) {
+	for seed := range uint64(50) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		var e []history.Event
+		now := map[string]int64{}
+		ids := []string{"k-0", "k-1"}
+		for i := range int64(60) { // each takes effect at its own moment, and was under way around it
+			at := i * 10
+			from, to := (at-rng.Int64N(25))*ms, (at+rng.Int64N(25))*ms
+			if rng.IntN(2) == 0 {
+				id := ids[rng.IntN(2)]
+				now[id] = i + 1
+				outcome := history.OK
+				if rng.IntN(4) == 0 {
+					outcome = history.Broken
+				}
+				e = append(e, history.Event{At: to, Began: from, Kind: history.Put, Relay: "w", ID: id, Value: i + 1, Outcome: outcome})
+			} else {
+				e = append(e, history.Event{At: to, Began: from, Kind: history.Confirmed, Relay: "r", Values: map[string]int64{"k-0": now["k-0"], "k-1": now["k-1"]}})
+			}
+		}
+		if v := Check(rules(), e); !v.Held() {
+			t.Fatalf("seed %d: %v", seed, v.Violations)
+		}
+		last := e[len(e)-1].At + ms
+		e = append(e, history.Event{At: last + ms, Began: last, Kind: history.Confirmed, Relay: "r", Values: map[string]int64{"k-0": 1000, "k-1": now["k-1"]}})
+		if v := Check(rules(), e); now["k-0"] > 0 && !v.Broke(AcknowledgedIsKept) {
+			t.Fatalf("seed %d: a value that nobody wrote is accepted", seed)
+		}
+	}
+}
--- a/internal/trial/ground.go
+++ b/internal/trial/ground.go
@@ -47,6 +47,7 @@
 	Seed     uint64
 	For      time.Duration // the load
 	Relay    string        // the relay's program
+	Program  string        // the product's own, for list servers
 	Dir      string        // for folders, logs and the history; empty: one that is removed at the end
 	Plan     *Plan         // in place of the scenario's own; may be nil
 	Keeper   func() *exec.Cmd
@@ -90,6 +91,7 @@
 	links  map[string]*fault.Link // by n3>s-01a
 	parts  sync.WaitGroup         // all that the trial started in this process
 
+	lists   *lists // nil: none
 	clients []*stand.Client
 	byName  map[string]*Relay
 
@@ -107,6 +109,9 @@
 	if _, err := exec.LookPath(opts.Relay); err != nil {
 		return nil, fmt.Errorf("%w: the relay's program: %w", ErrNotPlayed, err)
 	}
+	if _, err := exec.LookPath(opts.Program); sc.Lists > 0 && err != nil {
+		return nil, fmt.Errorf("%w: the list servers' program: %w", ErrNotPlayed, err)
+	}
 	if opts.free == nil {
 		opts.free = freeAddr
 	}
@@ -166,6 +171,12 @@
 	if err := g.build(ctx, dir); err != nil {
 		return fmt.Errorf("%w: %w", ErrNotPlayed, err)
 	}
+	if sc.Lists > 0 {
+		defer g.endLists()
+		if err := g.buildLists(dir, sc.Lists, rand.New(rand.NewPCG(g.opts.Seed, 0x6c697374))); err != nil {
+			return fmt.Errorf("%w: %w", ErrNotPlayed, err)
+		}
+	}
 	plan := g.opts.Plan
 	if plan == nil {
 		plan = &Plan{Scenario: sc.Name, Load: g.load.Name, Seed: g.opts.Seed, For: units.Duration{Duration: g.opts.For}}
@@ -181,6 +192,11 @@
 	if err := g.startRelays(ctx); err != nil {
 		return fmt.Errorf("%w: %w", ErrNotPlayed, err)
 	}
+	if g.lists != nil {
+		if err := g.startLists(ctx); err != nil {
+			return fmt.Errorf("%w: %w", ErrNotPlayed, err)
+		}
+	}
 	g.sampleAll("before")
 	own := report.Self()
 	began := time.Now()
@@ -205,6 +221,9 @@
 	res.Lag = lag.done()
 	ownUse := report.Self() - own
 	g.endRelays()
+	if g.lists != nil {
+		g.endLists()
+	}
 	events := g.rec.Events()
 	res.Verdict = check.Check(header.Rules, events)
 	res.Figures = report.Make(header, events)
@@ -412,6 +431,9 @@
 	watchers.Go(func() { g.progressUntil(sampling, began) })
 	defer watchers.Wait()
 	defer stopSamples()
+	if g.lists != nil {
+		g.useLists(ctx)
+	}
 	planned := make(chan error, 1)
 	go func() { planned <- g.play(ctx, plan, began) }()
 	for _, a := range g.world.Arrivals {
@@ -423,6 +445,9 @@
 	sleepUntil(ctx, began.Add(g.opts.For))
 	g.rec.Add(history.Event{Kind: history.Fault, Note: report.LoadEnds})
 	err := <-planned // its steps end with it, also when ctx does
+	if g.lists != nil {
+		g.settleLists(ctx)
+	}
 	owed := report.NewOwed()
 	end := time.Now().Add(g.load.Longest().Duration + 400*time.Millisecond)
 	for ctx.Err() == nil && time.Now().Before(end) {
--- a/internal/trial/history/history.go
+++ b/internal/trial/history/history.go
@@ -20,18 +20,22 @@
 
 // The kinds of event.
 const (
-	Want   Kind = "want"   // a client wants a message delivered, whether or not its relay is there
-	Hand   Kind = "hand"   // a client has sent a message's last byte to its relay
-	Answer Kind = "answer" // and has its answer; status 0: none came, Note tells why
-	Call   Kind = "call"   // a call's last byte has come from a relay; one event a message in it
-	Reply  Kind = "reply"  // how the call ended for that message
-	Heard  Kind = "heard"  // an answer that tells to wait came through to its relay, Took before, which did not hang up on it
-	Notice Kind = "notice" // a relay ended a message by a notice, and was answered 204
-	Told   Kind = "told"   // a relay was told an entry of the list
-	Proc   Kind = "proc"   // a process was started, was ready, was sent a signal, or ended
-	Fault  Kind = "fault"  // the trial did something to somebody
-	Sample Kind = "sample" // what a process holds
-	Lag    Kind = "lag"    // the ground itself was late by Took
+	Want      Kind = "want"      // a client wants a message delivered, whether or not its relay is there
+	Hand      Kind = "hand"      // a client has sent a message's last byte to its relay
+	Answer    Kind = "answer"    // and has its answer; status 0: none came, Note tells why
+	Call      Kind = "call"      // a call's last byte has come from a relay; one event a message in it
+	Reply     Kind = "reply"     // how the call ended for that message
+	Heard     Kind = "heard"     // an answer that tells to wait came through to its relay, Took before, which did not hang up on it
+	Notice    Kind = "notice"    // a relay ended a message by a notice, and was answered 204
+	Told      Kind = "told"      // a relay was told an entry of the list
+	Proc      Kind = "proc"      // a process was started, was ready, was sent a signal, or ended
+	Fault     Kind = "fault"     // the trial did something to somebody
+	Put       Kind = "put"       // somebody wrote an entry of the list, from Began on: ID, Value (0: removed), Outcome OK, Refused or Broken
+	Confirmed Kind = "confirmed" // somebody read the list, confirmed, from Began on: Values, Version
+	Seen      Kind = "seen"      // somebody who follows the list holds Version now: State whose, Note its digest
+	Settle    Kind = "settle"    // somebody who follows has, at the end, what Seen has; Status 0: it never came so far
+	Sample    Kind = "sample"    // what a process holds
+	Lag       Kind = "lag"       // the ground itself was late by Took
 )
 
 // Outcomes of a call, as Reply has them.
@@ -94,6 +98,10 @@
 	State   string `json:"state,omitempty"`
 	Version int64  `json:"version,omitempty"`
 
+	// Put, Confirmed: of the entries that are written to, by their ids
+	Value  int64            `json:"value,omitempty"`
+	Values map[string]int64 `json:"values,omitempty"`
+
 	// Sample, in bytes and a count; CPU in microseconds
 	Memory      int64 `json:"memory,omitempty"`
 	Disk        int64 `json:"disk,omitempty"`
--- a/internal/trial/main_test.go
+++ b/internal/trial/main_test.go
@@ -51,6 +51,17 @@
 
 // relayProgram builds the relay, with changes to its text that are nowhere but in this build.
 func relayProgram(t *testing.T, name string, changes ...change) string {
+	t.Helper()
+	return program(t, "./cmd/cherrytrestle", name, changes...)
+}
+
+// listProgram builds the product's command, which list servers run, in the same way.
+func listProgram(t *testing.T, name string, changes ...change) string {
+	t.Helper()
+	return program(t, "./cmd/wallflow", name, changes...)
+}
+
+func program(t *testing.T, source, name string, changes ...change) string {
 	t.Helper()
 	built.Lock()
 	defer built.Unlock()
@@ -97,7 +108,7 @@
 		t.Fatal(err)
 	}
 	path := filepath.Join(built.dir, name)
-	build := exec.Command("go", "build", "-buildvcs=false", "-overlay", file, "-o", path, "./cmd/cherrytrestle")
+	build := exec.Command("go", "build", "-buildvcs=false", "-overlay", file, "-o", path, source)
 	build.Dir = root
 	if out, err := build.CombinedOutput(); err != nil {
 		t.Fatalf("build %s: %v\n%s", name, err, out)
@@ -117,6 +128,9 @@
 		t.Fatal(err)
 	}
 	opts.Keeper = keeper
+	if sc.Lists > 0 && opts.Program == "" {
+		opts.Program = listProgram(t, "lists")
+	}
 	for range playsMost {
 		res, err := Run(context.Background(), sc, opts)
 		if err == nil {
--- a/internal/trial/plan.go
+++ b/internal/trial/plan.go
@@ -24,7 +24,7 @@
 type Step struct {
 	At   units.Duration `toml:"at"`             // from when the load begins
 	Do   string         `toml:"do"`             // see Doings
-	On   []string       `toml:"on"`             // relays (n3), endpoints (s-01a), or pairs (n3>s-01a)
+	On   []string       `toml:"on"`             // relays (n3), endpoints (s-01a), pairs (n3>s-01a), or list servers (l0; "leader": whoever leads then)
 	For  units.Duration `toml:"for,omitempty"`  // how long; not all need it
 	Size float64        `toml:"size,omitempty"` // how much
 	Note string         `toml:"note,omitempty"` // which one of several ways
@@ -42,7 +42,7 @@
 // doing is how a step is carried out. A relay's own steps come one after the other; others do not wait for them.
 type doing struct {
 	about string
-	on    byte // r: relays, e: endpoints, p: pairs
+	on    byte // r: relays, e: endpoints, p: pairs, l: list servers
 	span  bool // wants For
 	size  bool // wants Size
 	notes []string
@@ -73,6 +73,11 @@
 		"delay":           {about: "the link takes `size` ms longer each way for so long", on: 'p', span: true, size: true, do: doLink(func(f *fault.Faults, s Step) { f.To.Delay += ms(s.Size); f.From.Delay += ms(s.Size) })},
 		"lose":            {about: "the link loses a share of `size` for so long", on: 'p', span: true, size: true, do: doLink(func(f *fault.Faults, s Step) { f.To.Loss, f.From.Loss = s.Size, s.Size })},
 		"cut":             {about: "the link carries nothing for so long; `note` to or from: one way only", on: 'p', span: true, notes: []string{"", "to", "from"}, do: doLink(func(f *fault.Faults, s Step) { f.To.Cut, f.From.Cut = s.Note != "from", s.Note != "to" })},
+		"list-kill":       {about: "SIGKILL; started again with its folder after `for`", on: 'l', span: true, do: onList(doListKill)},
+		"list-restart":    {about: "SIGTERM; started again with its folder `for` after it ended", on: 'l', span: true, do: onList(doListRestart)},
+		"list-freeze":     {about: "SIGSTOP for so long", on: 'l', span: true, do: onList(doListFreeze)},
+		"list-replace":    {about: "SIGKILL; its folder is lost, and it joins again after `for`", on: 'l', span: true, do: onList(doListReplace)},
+		"list-part":       {about: "cut off from the other servers for so long; `note` in or out: one way only", on: 'l', span: true, notes: []string{"", "in", "out"}, do: onList(doListPart)},
 		"reset":           {about: "all its open connections are reset", on: 'p', do: func(_ context.Context, g *Ground, _ Step, on string) error { g.links[on].Reset(); return nil }},
 	}
 }
@@ -90,7 +95,7 @@
 func Doings() []string {
 	var all []string
 	for name, d := range doings {
-		on := map[byte]string{'r': "relays", 'e': "endpoints", 'p': "links"}[d.on]
+		on := map[byte]string{'r': "relays", 'e': "endpoints", 'p': "links", 'l': "lists"}[d.on]
 		all = append(all, fmt.Sprintf("%-16s %-10s %s", name, on, d.about))
 	}
 	slices.Sort(all)
@@ -152,6 +157,8 @@
 				ok = g.world.Endpoint(on) != nil
 			case 'p':
 				ok = g.links[on] != nil
+			case 'l':
+				ok = g.lists != nil && (on == leaderName || g.listServer(on) != nil)
 			}
 			if !ok {
 				return fmt.Errorf("plan: step %d (%s): on: the fleet has no %q", i+1, s.Do, on)
--- a/internal/trial/scenario.go
+++ b/internal/trial/scenario.go
@@ -13,20 +13,28 @@
 type Scenario struct {
 	Name  string
 	About string
+	Lists int // list servers; 0: none
 	Steps func(rng *rand.Rand, g *Ground, lasting time.Duration) []Step
 }
 
 // Scenarios are all that the program has, by name.
 func Scenarios() []*Scenario {
 	all := []*Scenario{
-		{"calm", "nothing is done to anybody: what the ground and the relays cost by themselves", func(*rand.Rand, *Ground, time.Duration) []Step { return nil }},
-		{"berth", "a vessel's peak, with a slow partner and one that goes away: a trial to watch", berth},
-		{"relay-kill", "relays are killed at random moments, some while they compact their journals, and start again with their folders", relayKill},
-		{"relay-freeze", "relays are stopped for longer than messages have, and go on", relayFreeze},
-		{"partner-outage", "all endpoints of a partner go away, by one of several ways, and come back cold, seen by all relays", partnerOutage},
-		{"agent-silent", "discovery says nothing while endpoints drain and go", agentSilent},
-		{"take-over", "successors take relays over during load; either process is killed or frozen at each step", takeOver},
-		{"mass-kill", "seven in ten relays are killed at once, three in ten again later", massKill},
+		{"calm", "nothing is done to anybody: what the ground and the relays cost by themselves", 0, func(*rand.Rand, *Ground, time.Duration) []Step { return nil }},
+		{"berth", "a vessel's peak, with a slow partner and one that goes away: a trial to watch", 0, berth},
+		{"relay-kill", "relays are killed at random moments, some while they compact their journals, and start again with their folders", 0, relayKill},
+		{"relay-freeze", "relays are stopped for longer than messages have, and go on", 0, relayFreeze},
+		{"partner-outage", "all endpoints of a partner go away, by one of several ways, and come back cold, seen by all relays", 0, partnerOutage},
+		{"agent-silent", "discovery says nothing while endpoints drain and go", 0, agentSilent},
+		{"take-over", "successors take relays over during load; either process is killed or frozen at each step", 0, takeOver},
+		{"mass-kill", "seven in ten relays are killed at once, three in ten again later", 0, massKill},
+		{"list-leader-kill", "the list server that leads is killed, again and again, or told to end, and comes back with its folder", 3, listLeaderKill},
+		{"list-minority", "one list server is cut off from the others, the leader first, with users on its side", 3, listMinority},
+		{"list-majority-cut", "no majority of list servers can reach each other for a while", 3, listMajorityCut},
+		{"list-one-way", "a list server hears the others and is not heard, or the other way about", 3, listOneWay},
+		{"list-freeze", "the list server that leads is stopped, and wakes when another one leads", 3, listFreeze},
+		{"list-rolling-replace", "all list servers lose their folders, one by one, and are replaced under writes", 3, listRollingReplace},
+		{"list-all-dead", "all list servers are killed at once, and come back with their folders", 3, listAllDead},
 	}
 	return all
 }
--- a/internal/trial/trial_test.go
+++ b/internal/trial/trial_test.go
@@ -212,3 +212,35 @@
 		})
 	}
 }
+
+// A list server that is broken on purpose, in a build of this test alone, is found out: each invariant by its name.
+func TestEachInvariantFailsOnAListServerThatBreaksIt(t *testing.T) {
+	relay := relayProgram(t, "relay")
+	const server, cat = "internal/listsvc/server.go", "internal/catalog/catalog.go"
+	for _, c := range []struct {
+		name, scenario string
+		changes        []change
+	}{
+		{check.AcknowledgedIsKept, "list-minority", []change{{server, "func (s *Server) Confirm(ctx context.Context) error {\n",
+			"func (s *Server) Confirm(ctx context.Context) error {\n\tif s.m.Status().Cluster != \"\" {\n\t\treturn nil // whoever leads now\n\t}\n"}}},
+		{check.VersionsRise, "list-leader-kill", []change{{cat, "\tfor _, s := range c.history[from:] {\n", "\tif from+3 < len(c.history) {\n\t\tfrom += 2 // who is far behind misses some\n\t}\n\tfor _, s := range c.history[from:] {\n"}}},
+		{check.WatchIsWhole, "list-leader-kill", []change{{cat, "\tif version == c.version && version > 0 {\n", "\tif version > 0 && c.version-version < 9 { // a few changes are not worth a line\n"}}},
+		{check.StaysUp, "list-leader-kill", []change{{server, "\ts.log.Info(\"leads\", ", "\tif term > 2 {\n\t\tpanic(\"broken on purpose\")\n\t}\n\ts.log.Info(\"leads\", "}}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			opts := options(t, relay, "small", 2, 6*time.Second)
+			opts.Program = listProgram(t, "broken-list-"+c.name, c.changes...)
+			found := map[string]int{}
+			for _, v := range mustPlay(t, c.scenario, opts).Verdict.Violations {
+				found[v.Name]++
+				if v.ID == "" || len(v.Lines) == 0 {
+					t.Errorf("%v names nobody or shows nothing", v)
+				}
+			}
+			if found[c.name] == 0 {
+				t.Errorf("it was not found; found was %v", found)
+			}
+		})
+	}
+}
