Have relays live by list servers and agents in trials, and find a cluster nobody can lead

Need: the scenarios of list servers had nobody who lives by the list, and nothing handed notices on.

Change: in list-* trials each relay has an agent of its own as a process, which can be killed; on the relay's link to it the ground reads along. Invariants notices-pass-on and list-outlives-service, watch-is-whole for relays too; list-calm and figures of writes, gaps and followers; tests of the commands. An agent locks its folder; a trial refuses a folder that holds one.

--- a/cmd/wallflow/agent.go
+++ b/cmd/wallflow/agent.go
@@ -18,9 +18,10 @@
 type agentSettings struct {
 	Listen string
 	Dir    string
-	Finals string      // address that takes the notices
-	Spool  units.Bytes // of notices, at most
-	TakeOn string      `toml:"take_on"`
+	Finals string            // address that takes the notices
+	Spool  units.Bytes       // of notices, at most
+	TakeOn string            `toml:"take_on"`
+	Via    map[string]string // addresses of entries in whose place the relay gets others
 }
 
 func newAgent(a *app) *cobra.Command {
@@ -37,7 +38,7 @@
 		Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			s := a.Agent
-			g, err := agent.Open(agent.Options{Dir: s.Dir, Listen: s.Listen, Servers: a.Server, Finals: s.Finals, Spool: s.Spool.N, TakeOn: s.TakeOn, Log: a.log})
+			g, err := agent.Open(agent.Options{Dir: s.Dir, Listen: s.Listen, Servers: a.Server, Finals: s.Finals, Spool: s.Spool.N, TakeOn: s.TakeOn, Via: s.Via, Log: a.log})
 			if err != nil {
 				return fmt.Errorf("agent: %w", err)
 			}
--- a/cmd/wallflow/main.go
+++ b/cmd/wallflow/main.go
@@ -158,7 +158,7 @@
 			*to[0] = *to[1]
 		}
 	}
-	a.Agent.Spool = file.Agent.Spool
+	a.Agent.Spool, a.Agent.Via = file.Agent.Spool, file.Agent.Via
 	if file.Trial.For.Duration > 0 && !cmd.Flags().Changed("for") {
 		a.Trial.For = file.Trial.For
 	}
--- a/cmd/wallflow/serve.go
+++ b/cmd/wallflow/serve.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/url"
 	"sort"
+	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -188,7 +189,7 @@
 
 // misgivings are what staff should look at.
 func misgivings(all []standing) (wrong []string) {
-	leaders, voters := map[string]uint64{}, 0
+	leaders, voters, view := map[string]uint64{}, 0, ""
 	var first *listsvc.Report
 	for _, s := range all {
 		r := s.Report
@@ -220,6 +221,13 @@
 		if n := len(r.Members); n > voters {
 			voters = n
 		}
+		if v := votersOf(r); v != "" {
+			if view == "" {
+				view = v
+			} else if v != view {
+				wrong = append(wrong, fmt.Sprintf("%s has not heard of the same voters as %s: replace or end no other server until it has", r.Name, first.Name))
+			}
+		}
 	}
 	if first != nil && first.Role != listsvc.RoleNew && len(leaders) != 1 {
 		wrong = append(wrong, fmt.Sprintf("%d servers lead: %v (with none nothing can be written; of two the one of the lower term is about to notice)", len(leaders), leaders))
@@ -230,6 +238,18 @@
 	return wrong
 }
 
+// votersOf are the ids of those that have a vote, as a server knows it.
+func votersOf(r *listsvc.Report) string {
+	var ids []string
+	for _, m := range r.Members {
+		if m.Voter {
+			ids = append(ids, m.ID)
+		}
+	}
+	sort.Strings(ids)
+	return strings.Join(ids, " ")
+}
+
 func newServeRemove(a *app) *cobra.Command {
 	c := &cobra.Command{
 		Use:   "remove NAME",
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -22,6 +22,7 @@
 	"wallflow/internal/catalog"
 	"wallflow/internal/durable"
 	"wallflow/internal/listsvc"
+	"wallflow/internal/wal"
 )
 
 const (
@@ -46,13 +47,14 @@
 
 // Options say what an agent is. The zero value of a field is what is usual.
 type Options struct {
-	Dir     string   // its folder
-	Listen  string   // address for the relay
-	Servers []string // HTTP addresses of list servers
-	Finals  string   // address that takes the notices; empty: they are kept until there is one
-	Spool   int64    // bytes of notices that are kept at most
-	TakeOn  string   // id of a list that is to be taken on, however short it is
-	Seed    uint64   // 0: drawn
+	Dir     string            // its folder
+	Listen  string            // address for the relay
+	Servers []string          // HTTP addresses of list servers
+	Finals  string            // address that takes the notices; empty: they are kept until there is one
+	Spool   int64             // bytes of notices that are kept at most
+	Via     map[string]string // addresses of entries in whose place the relay gets others
+	TakeOn  string            // id of a list that is to be taken on, however short it is
+	Seed    uint64            // 0: drawn
 	Log     *slog.Logger
 }
 
@@ -60,6 +62,7 @@
 type Agent struct {
 	o      Options
 	log    *slog.Logger
+	lock   *wal.Lock // of the folder
 	spool  *spool
 	listen net.Listener
 	web    *http.Server
@@ -104,7 +107,18 @@
 	if err := os.MkdirAll(o.Dir, 0o700); err != nil {
 		return nil, err
 	}
-	a = &Agent{o: o, log: o.Log, mirror: NewMirror(), changed: make(chan struct{}), dirty: make(chan struct{}, 1), rng: rand.New(rand.NewPCG(o.Seed, 0x6167656e74)),
+	lock, err := wal.Acquire(o.Dir)
+	if errors.Is(err, wal.ErrLocked) {
+		return nil, fmt.Errorf("folder %s: another agent has it", o.Dir)
+	} else if err != nil {
+		return nil, err
+	}
+	defer func() {
+		if err != nil {
+			lock.Release()
+		}
+	}()
+	a = &Agent{o: o, lock: lock, log: o.Log, mirror: NewMirror(), changed: make(chan struct{}), dirty: make(chan struct{}, 1), rng: rand.New(rand.NewPCG(o.Seed, 0x6167656e74)),
 		client: &http.Client{Transport: &http.Transport{DisableCompression: true, ResponseHeaderTimeout: silentFor}},
 		hands:  &http.Client{Timeout: handFor, Transport: &http.Transport{MaxConnsPerHost: 1}}}
 	if err := a.read(); err != nil {
@@ -182,7 +196,7 @@
 		a.web.Close()
 	}
 	a.parts.Wait()
-	return errors.Join(err, a.save(), a.spool.close())
+	return errors.Join(err, a.save(), a.spool.close(), a.lock.Release())
 }
 
 // upTo draws a time.
@@ -278,7 +292,10 @@
 		if err := json.Unmarshal(line, &l); err != nil {
 			return took, fmt.Errorf("unreadable line: %w", err)
 		}
-		for _, e := range l.Servers {
+		for i, e := range l.Servers {
+			if to, ok := a.o.Via[e.Addr]; ok {
+				l.Servers[i].Addr = to
+			}
 			if e.State == catalog.Gone {
 				continue
 			}
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -269,6 +269,17 @@
 	}
 }
 
+func TestAFolderHasOneAgent(t *testing.T) {
+	o := Options{Dir: t.TempDir(), Servers: []string{"127.0.0.1:1"}}
+	a := run(t, o)
+	o.Listen = "127.0.0.1:0"
+	if _, err := Open(o); err == nil || !strings.Contains(err.Error(), "another agent has it") {
+		t.Errorf("%v", err)
+	}
+	a.stop()
+	run(t, o).stop()
+}
+
 // A kept list that was damaged is set aside, and asked for whole.
 func TestADamagedListIsSetAside(t *testing.T) {
 	l := newService(t)
--- a/internal/trial/check/check.go
+++ b/internal/trial/check/check.go
@@ -26,13 +26,18 @@
 	AcknowledgedIsKept = "acknowledged-is-kept"
 	VersionsRise       = "versions-rise"
 	WatchIsWhole       = "watch-is-whole"
+	NoticesPassOn      = "notices-pass-on"
+	ListOutlives       = "list-outlives-service"
 )
 
 // Names are all invariants that this package judges, in the order of reports.
 var Names = []string{TakenIsEnded, NoSecondEffect, OwnEndpoints, DrainKept, WaitHeeded, MemoryFlat, DiskBound, NoLeak, StaysUp}
 
+// AgentOf is the end of the name of a relay's own agent, where it is a process.
+const AgentOf = ".agent"
+
 // ListNames are those of the list servers, judged where there are any.
-var ListNames = []string{AcknowledgedIsKept, VersionsRise, WatchIsWhole}
+var ListNames = []string{AcknowledgedIsKept, VersionsRise, WatchIsWhole, NoticesPassOn, ListOutlives}
 
 // The protocol's figures, in microseconds.
 const (
@@ -88,7 +93,7 @@
 	callEnd map[callKey]int
 	ends    int64 // the history's last moment
 
-	puts, reads, seen []int // of the list
+	puts, reads, seen, passed []int // of the list
 }
 
 type callKey struct {
@@ -173,6 +178,8 @@
 		case history.Heard:
 			r := j.relay(e.Relay)
 			r.waits = append(r.waits, i)
+		case history.Passed:
+			j.passed = append(j.passed, i)
 		case history.Notice:
 			m := j.message(e.ID)
 			m.notices = append(m.notices, i)
@@ -312,6 +319,14 @@
 // for as long as the protocol gives it. One that came while its relay was stopped was read only after that, and the relay
 // cannot know for how long it lay there.
 func (j *judge) due(r *relay, hand history.Event, taken int64) int64 {
+	due := j.dueBy(r, hand, taken)
+	if a := j.relays[hand.Relay+AgentOf]; a != nil { // who takes its notices was away, which no platform's agent is
+		due = max(due, j.dueBy(a, hand, taken))
+	}
+	return due
+}
+
+func (j *judge) dueBy(r *relay, hand history.Event, taken int64) int64 {
 	due := hand.At + hand.Expires + endedBy + slack
 	for _, i := range r.procs {
 		if e := j.events[i]; e.Note == history.Cont && e.At > hand.At && e.At < taken {
--- a/internal/trial/check/list.go
+++ b/internal/trial/check/list.go
@@ -26,6 +26,44 @@
 	j.kept()
 	j.rise()
 	j.whole()
+	j.passOn()
+	j.outlives()
+}
+
+// outlives: no relay is told that an endpoint is gone which nobody took off the list, whatever becomes of who tells it.
+func (j *judge) outlives() {
+	drained := map[string]bool{}
+	for i, e := range j.events {
+		if e.Kind == history.Fault && e.Note == "drain" {
+			drained[e.Endpoint] = true
+		}
+		if _, ours := j.rules.Cells[e.Endpoint]; e.Kind != history.Told || !ours {
+			continue
+		}
+		j.judged(ListOutlives)
+		if e.State == "gone" && !drained[e.Endpoint] {
+			j.broken(Violation{ListOutlives, e.Relay, fmt.Sprintf("it was told that %s is gone, which nobody removed", e.Endpoint), 0, []int{i}}, 0, 0)
+		}
+	}
+}
+
+// passOn: what an agent answered for reaches whom it is for.
+func (j *judge) passOn() {
+	passed, looked := map[string]bool{}, 0
+	for _, i := range j.passed {
+		e := j.events[i]
+		passed[e.ID] = true
+		looked = max(looked, e.Number)
+	}
+	for i, e := range j.events[:min(looked, len(j.events))] {
+		if e.Kind != history.Notice {
+			continue
+		}
+		j.judged(NoticesPassOn)
+		if !passed[e.ID] {
+			j.broken(Violation{NoticesPassOn, e.ID, "its notice was answered for by the agent of " + e.Relay + ", and never handed on", 0, []int{i}}, 0, 0)
+		}
+	}
 }
 
 // entryOp is a write of an entry, or its part of a read.
--- a/internal/trial/check/list_test.go
+++ b/internal/trial/check/list_test.go
@@ -130,3 +130,67 @@
 		}
 	}
 }
+
+// A notice that an agent has answered for reaches whom it is for.
+func TestANoticeThatIsNotHandedOnIsFound(t *testing.T) {
+	notice := history.Event{At: 155 * ms, Kind: history.Notice, Relay: "n0", ID: "m1", End: "undeliverable"}
+	passed := history.Event{At: 156 * ms, Kind: history.Passed, Relay: "n0", ID: "m1"}
+	e := slices.Insert(listing(), len(listing())-2, notice)
+	if v := Check(rules(), e); v.Judged[NoticesPassOn] != 0 {
+		t.Errorf("nobody looked: %v", v)
+	}
+	looked := history.Event{At: 170 * ms, Kind: history.Passed, Number: len(e)}
+	late := notice // after the look
+	late.ID, late.At = "m2", 169*ms
+	e = append(e, late, looked)
+	v := Check(rules(), e)
+	if !v.Broke(NoticesPassOn) || v.Judged[NoticesPassOn] != 1 {
+		t.Errorf("%v", v)
+	}
+	if v := Check(rules(), slices.Insert(e, len(e)-2, passed)); v.Broke(NoticesPassOn) {
+		t.Errorf("%v", v)
+	}
+}
+
+// A notice may be late by as long as the relay's agent was away, and no longer.
+func TestANoticeWaitsForAnAgentThatIsAway(t *testing.T) {
+	late := func(by int64, agent ...history.Event) Verdict {
+		e := undisturbed(sound())
+		i := find(t, e, history.Notice, "m4")
+		x := e[i]
+		x.At = (1100 + 4000 + 350 + by) * ms
+		e = slices.Delete(e, i, i+1)
+		e = append(e, agent...)
+		e = append(e, x)
+		slices.SortStableFunc(e, func(a, b history.Event) int { return int(a.At - b.At) })
+		return Check(rules(), e)
+	}
+	proc := func(at int64, note string) history.Event {
+		return history.Event{At: at * ms, Kind: history.Proc, Relay: "n0" + AgentOf, Life: 1, Note: note}
+	}
+	if v := late(400); !v.Broke(TakenIsEnded) {
+		t.Error("a notice late by 400 ms is passed over")
+	}
+	if v := late(400, proc(5000, history.Kill), proc(5100, history.Ended), proc(5300, history.Ready)); v.Broke(TakenIsEnded) {
+		t.Errorf("%v", v.Violations)
+	}
+	if v := late(400, proc(2000, history.Kill), proc(2100, history.Ended), proc(2300, history.Ready)); !v.Broke(TakenIsEnded) {
+		t.Error("an agent that was away long before is an excuse")
+	}
+}
+
+// An endpoint that nobody took off the list is not gone because who tells of it is away.
+func TestAListThatShrinksIsFound(t *testing.T) {
+	told := func(id, state string) history.Event {
+		return history.Event{At: 152 * ms, Kind: history.Told, Relay: "n0", Endpoint: id, State: state}
+	}
+	drain := history.Event{At: 151 * ms, Kind: history.Fault, Endpoint: "s-0b", Note: "drain"}
+	e := slices.Insert(listing(), len(listing())-2, told("s-0a", "ready"), drain, told("s-0b", "gone"), told("k-0", "gone"))
+	if v := Check(rules(), e); v.Broke(ListOutlives) || v.Judged[ListOutlives] != 2 {
+		t.Errorf("%v", v)
+	}
+	e = slices.Insert(e, len(e)-2, told("s-0a", "gone"))
+	if v := Check(rules(), e); !v.Broke(ListOutlives) || len(v.Violations) != 1 {
+		t.Errorf("%v", v.Violations)
+	}
+}
--- a/internal/trial/ground.go
+++ b/internal/trial/ground.go
@@ -12,6 +12,7 @@
 	"errors"
 	"fmt"
 	"hash/fnv"
+	"io/fs"
 	"log/slog"
 	"math/rand/v2"
 	"os"
@@ -92,6 +93,7 @@
 	parts  sync.WaitGroup         // all that the trial started in this process
 
 	lists   *lists // nil: none
+	listRng *rand.Rand
 	clients []*stand.Client
 	byName  map[string]*Relay
 
@@ -137,8 +139,10 @@
 	} else if err := os.MkdirAll(dir, 0o700); err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotPlayed, err)
 	}
-	file, err := os.Create(filepath.Join(dir, "history.jsonl"))
-	if err != nil {
+	file, err := os.OpenFile(filepath.Join(dir, "history.jsonl"), os.O_CREATE|os.O_EXCL|os.O_WRONLY, 0o600)
+	if errors.Is(err, fs.ErrExist) {
+		return nil, fmt.Errorf("%w: folder %s holds a trial already: its programs would go on from what lies there", ErrNotPlayed, dir)
+	} else if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotPlayed, err)
 	}
 	defer func() { err = errors.Join(err, file.Close()) }()
@@ -189,14 +193,14 @@
 	if err := plan.Write(filepath.Join(dir, "plan.toml")); err != nil {
 		return fmt.Errorf("%w: %w", ErrNotPlayed, err)
 	}
-	if err := g.startRelays(ctx); err != nil {
-		return fmt.Errorf("%w: %w", ErrNotPlayed, err)
-	}
 	if g.lists != nil {
 		if err := g.startLists(ctx); err != nil {
 			return fmt.Errorf("%w: %w", ErrNotPlayed, err)
 		}
 	}
+	if err := g.startRelays(ctx); err != nil {
+		return fmt.Errorf("%w: %w", ErrNotPlayed, err)
+	}
 	g.sampleAll("before")
 	own := report.Self()
 	began := time.Now()
@@ -460,6 +464,9 @@
 	for _, c := range g.clients {
 		c.Wait()
 	}
+	if g.lists != nil {
+		g.passOn(ctx)
+	}
 	return err
 }
 
--- a/internal/trial/history/history.go
+++ b/internal/trial/history/history.go
@@ -34,6 +34,7 @@
 	Confirmed Kind = "confirmed" // somebody read the list, confirmed, from Began on: Values, Version
 	Seen      Kind = "seen"      // somebody who follows the list holds Version now: State whose, Note its digest
 	Settle    Kind = "settle"    // somebody who follows has, at the end, what Seen has; Status 0: it never came so far
+	Passed    Kind = "passed"    // a notice that a relay's agent had answered for was handed on; Number, without an ID: events that were looked at for it
 	Sample    Kind = "sample"    // what a process holds
 	Lag       Kind = "lag"       // the ground itself was late by Took
 )
--- a/internal/trial/plan.go
+++ b/internal/trial/plan.go
@@ -73,6 +73,7 @@
 		"delay":           {about: "the link takes `size` ms longer each way for so long", on: 'p', span: true, size: true, do: doLink(func(f *fault.Faults, s Step) { f.To.Delay += ms(s.Size); f.From.Delay += ms(s.Size) })},
 		"lose":            {about: "the link loses a share of `size` for so long", on: 'p', span: true, size: true, do: doLink(func(f *fault.Faults, s Step) { f.To.Loss, f.From.Loss = s.Size, s.Size })},
 		"cut":             {about: "the link carries nothing for so long; `note` to or from: one way only", on: 'p', span: true, notes: []string{"", "to", "from"}, do: doLink(func(f *fault.Faults, s Step) { f.To.Cut, f.From.Cut = s.Note != "from", s.Note != "to" })},
+		"agent-kill":      {about: "SIGKILL to the relay's own agent; started again with its folder after `for`", on: 'r', span: true, do: doAgentKill},
 		"list-kill":       {about: "SIGKILL; started again with its folder after `for`", on: 'l', span: true, do: onList(doListKill)},
 		"list-restart":    {about: "SIGTERM; started again with its folder `for` after it ended", on: 'l', span: true, do: onList(doListRestart)},
 		"list-freeze":     {about: "SIGSTOP for so long", on: 'l', span: true, do: onList(doListFreeze)},
@@ -335,6 +336,12 @@
 }
 
 func doDrain(ctx context.Context, g *Ground, s Step, on string) error {
+	if g.lists != nil {
+		if err := g.change(ctx, on, "draining"); err != nil || !sleep(ctx, s.For.Duration) {
+			return err
+		}
+		return g.change(ctx, on, "gone")
+	}
 	g.list(on, "draining")
 	if sleep(ctx, s.For.Duration) {
 		g.list(on, "gone")
--- a/internal/trial/report/report.go
+++ b/internal/trial/report/report.go
@@ -69,6 +69,8 @@
 	LagP99      float64 `json:"ground_lag_p99_seconds"`
 	LagMax      float64 `json:"ground_lag_max_seconds"`
 
+	Lists *Lists `json:"lists,omitempty"` // nil: there were no list servers
+
 	Points []Point `json:"points"`
 	Faults []Mark  `json:"faults"`
 }
@@ -113,7 +115,7 @@
 
 // Make works the figures out.
 func Make(h history.Header, events []history.Event) Figures {
-	f := Figures{Relays: len(h.Relays)}
+	f := Figures{Relays: len(h.Relays), Lists: listFigures(events)}
 	wishes, byID := map[string]*wish{}, map[string]*wish{}
 	var order []*wish
 	var began, ended int64
@@ -373,6 +375,9 @@
 	fmt.Fprintf(w, "calls     %d, refused %d, broken %d messages; %.2f sends a message taken on\n", f.Calls, f.CallsRefused, f.CallsBroken, f.PerMessage)
 	fmt.Fprintf(w, "relays    %.2f CPU s in all, %.2f s at most; memory %.1f MB, descriptors %d, disk %.0f kB at most\n", f.RelayCPU, f.RelayCPUMax,
 		float64(f.MemoryMax)/1e6, f.FilesMax, float64(f.DiskMax)/1e3)
+	if f.Lists != nil {
+		f.Lists.text(w)
+	}
 	fmt.Fprintf(w, "ground    %.2f CPU s; late by %.1f ms at p99, %.1f ms at most\n", f.GroundCPU, 1000*f.LagP99, 1000*f.LagMax)
 }
 
--- a/internal/trial/scenario.go
+++ b/internal/trial/scenario.go
@@ -28,6 +28,7 @@
 		{"agent-silent", "discovery says nothing while endpoints drain and go", 0, agentSilent},
 		{"take-over", "successors take relays over during load; either process is killed or frozen at each step", 0, takeOver},
 		{"mass-kill", "seven in ten relays are killed at once, three in ten again later", 0, massKill},
+		{"list-calm", "nothing is done to three list servers: what they do by themselves", 3, listCalm},
 		{"list-leader-kill", "the list server that leads is killed, again and again, or told to end, and comes back with its folder", 3, listLeaderKill},
 		{"list-minority", "one list server is cut off from the others, the leader first, with users on its side", 3, listMinority},
 		{"list-majority-cut", "no majority of list servers can reach each other for a while", 3, listMajorityCut},
--- a/internal/trial/stand/agent.go
+++ b/internal/trial/stand/agent.go
@@ -265,6 +265,16 @@
 	a.rec.AddAll(events)
 }
 
+// Tell puts down what a relay was told by another agent than this one, which keeps its books.
+func (a *Agent) Tell(l *List) { a.told(l) }
+
+// Overhear puts down notices that another agent took.
+func (a *Agent) Overhear(body []byte) {
+	if all, err := readNotices(body); err == nil {
+		a.noticed(all)
+	}
+}
+
 // Begin has the relay hold what the agent has, from its configuration.
 func (a *Agent) Begin() {
 	a.mu.Lock()
@@ -328,27 +338,26 @@
 	}
 }
 
-// finals takes notices.
-func (a *Agent) finals(w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, noticesMost))
-	if err != nil {
-		http.Error(w, "unreadable", http.StatusBadRequest)
-		return
-	}
-	type line struct {
-		ID      string   `json:"id"`
-		Status  string   `json:"status"`
-		AgainMS *float64 `json:"again_ms"`
-	}
-	var all []line
+// noticeLine is a notice.
+type noticeLine struct {
+	ID      string   `json:"id"`
+	Status  string   `json:"status"`
+	AgainMS *float64 `json:"again_ms"`
+}
+
+func readNotices(body []byte) (all []noticeLine, err error) {
 	for rows := bufio.NewScanner(bytes.NewReader(body)); rows.Scan(); {
-		var x line
+		var x noticeLine
 		if err := json.Unmarshal(rows.Bytes(), &x); err != nil || x.ID == "" || (x.Status != "undeliverable" && x.Status != "deferred") {
-			http.Error(w, "unreadable", http.StatusBadRequest)
-			return
+			return nil, errors.New("unreadable")
 		}
 		all = append(all, x)
 	}
+	return all, nil
+}
+
+// noticed puts notices down that were answered for.
+func (a *Agent) noticed(all []noticeLine) {
 	events := make([]history.Event, len(all))
 	for i, x := range all {
 		events[i] = history.Event{Kind: history.Notice, Relay: a.relay, ID: x.ID, End: x.Status}
@@ -356,12 +365,26 @@
 			events[i].Again = int64(*x.AgainMS * 1000)
 		}
 	}
-	w.WriteHeader(http.StatusNoContent)
-	if err := http.NewResponseController(w).Flush(); err != nil && !errors.Is(err, http.ErrNotSupported) {
-		return
-	}
 	a.rec.AddAll(events)
 	for i, x := range all {
 		a.notice(x.ID, x.Status, time.Duration(events[i].Again)*time.Microsecond)
 	}
 }
+
+// finals takes notices.
+func (a *Agent) finals(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, noticesMost))
+	var all []noticeLine
+	if err == nil {
+		all, err = readNotices(body)
+	}
+	if err != nil {
+		http.Error(w, "unreadable", http.StatusBadRequest)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+	if err := http.NewResponseController(w).Flush(); err != nil && !errors.Is(err, http.ErrNotSupported) {
+		return
+	}
+	a.noticed(all)
+}
