Hand notices on past a failed write, and end what a failed start or a reader leaves

Found on reading the change again. A segment whose only write failed held no record, and hid all later segments from who hands notices on: they would have waited until a restart. An agent whose start failed at its last step kept its port and spool open. In trials, who reads requests along could wait for ever for a reader of answers that had ended.

Change: the oldest segment that holds a record is handed on, empty ones before it go; the failed start closes what it opened; the reader of requests ends with the reader of answers.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -132,7 +132,11 @@
 	}
 	a.over, a.stop = context.WithCancel(context.Background())
 	a.web = &http.Server{Handler: a.handler(), ReadHeaderTimeout: headerFor, MaxHeaderBytes: headerMost, ErrorLog: slog.NewLogLogger(a.log.Handler(), slog.LevelDebug)}
-	return a, a.tellAddresses()
+	if err := a.tellAddresses(); err != nil {
+		a.stop()
+		return nil, errors.Join(err, a.listen.Close(), a.spool.close(), lock.Release())
+	}
+	return a, nil
 }
 
 func (a *Agent) path() string { return filepath.Join(a.o.Dir, listFile) }
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -445,6 +445,33 @@
 	}
 }
 
+// A write that fails loses what it was to keep, which was not answered for, and holds up nothing that comes after it.
+func TestAWriteThatFailsHoldsUpNothing(t *testing.T) {
+	s, err := openSpool(t.TempDir(), 1<<20, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := s.begin(); err != nil {
+		t.Fatal(err)
+	}
+	s.file.Close() // the next write to it fails
+	if err := s.add([]byte(notice(0))); err == nil {
+		t.Fatal("a write that failed was answered for")
+	}
+	if err := s.add([]byte(notice(1))); err != nil {
+		t.Fatal(err)
+	}
+	if all := s.next(1 << 20); len(all) != 1 || string(all[0]) != notice(1) {
+		t.Fatalf("%q is handed on", all)
+	}
+	if err := s.done(1); err != nil {
+		t.Fatal(err)
+	}
+	if n, bytes := s.figures(); n != 0 || bytes != 0 {
+		t.Errorf("%d records and %d bytes stay", n, bytes)
+	}
+}
+
 // Cut or damaged at any byte, a segment gives what comes before; the rest is set aside and not lost.
 func TestASegmentThatWasCut(t *testing.T) {
 	dir := t.TempDir()
--- a/internal/agent/spool.go
+++ b/internal/agent/spool.go
@@ -199,11 +199,13 @@
 func (s *spool) next(most int) (all [][]byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.rows) == 0 {
+	// A segment whose only write failed has none, and goes with the next one.
+	i := slices.IndexFunc(s.rows, func(g *segment) bool { return len(g.records) > 0 })
+	if i < 0 {
 		return nil
 	}
 	n := 0
-	for _, r := range s.rows[0].records {
+	for _, r := range s.rows[i].records {
 		if n += len(r); len(all) > 0 && n > most {
 			break
 		}
@@ -216,6 +218,11 @@
 func (s *spool) done(n int) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	for len(s.rows[0].records) == 0 {
+		if err := s.drop(); err != nil {
+			return err
+		}
+	}
 	g := s.rows[0]
 	g.records = g.records[n:]
 	for len(s.rows) > 0 && len(s.rows[0].records) == 0 {
--- a/internal/trial/agents.go
+++ b/internal/trial/agents.go
@@ -189,6 +189,7 @@
 func overhear(c *net.TCPConn, book *stand.Agent) *overheard {
 	askedR, askedW := io.Pipe()
 	toldR, toldW := io.Pipe()
+	over := make(chan struct{})    // nobody pairs requests with answers any more
 	asked := make(chan []byte, 16) // bodies of notices, in their order; nil: another request
 	go func() {                    // ends with what the relay says
 		defer close(asked)
@@ -206,10 +207,16 @@
 			if req.Method != http.MethodPost {
 				body = nil
 			}
-			asked <- body
+			select {
+			case asked <- body:
+			case <-over:
+				askedR.CloseWithError(net.ErrClosed)
+				return
+			}
 		}
 	}()
 	go func() { // ends with what the agent says
+		defer close(over)
 		in := bufio.NewReader(toldR)
 		for {
 			res, err := http.ReadResponse(in, nil)
