Call what a restart finds untried, whatever the pace

Cause: `release` (policy.go) refuses at once what opens only after its deadline, and `resume` starts the pace of each destination at this sender's part: one of 300 senders at a limit of 3 may call once in 100 s, and messages have 12 to 28 s. Ruled out: an unknown list, cold routes and told waits (rows of the test; with the list late and a wait told it is the same pace).

Waits, skips and the cold budget still do, and `release` does not end it for them: it is held while its time lasts. Such a call makes no debts of tokens for others.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -256,29 +256,27 @@
 	return g.coldAt + max(time.Millisecond, span(rate/(1-g.credit)))
 }
 
-// opensAt is when a route next takes a call, as far as its gate, skip and pace tell; math.MaxInt64 if
-// only an outcome can open it.
-func (s *Sender) opensAt(r *route) time.Duration {
+// opensAt is when a route next takes a call, at by whatever its pace; never if only an outcome opens it.
+func (s *Sender) opensAt(r *route, by time.Duration) time.Duration {
 	g := r.gate
 	if !r.InService || r.Gone {
-		return math.MaxInt64
+		return never
 	}
 	if r.down && len(r.calls) > 0 || s.crammed(r) {
-		return math.MaxInt64
+		return never
 	}
 	at := max(g.wait, r.skipUntil, s.coldUntil(r))
 	if g.pace > 0 {
 		s.refill(g, paceBurst)
 		if g.tokens < 1 {
-			at = max(at, g.tokensAt+span(g.pace/(1-g.tokens)))
+			at = max(at, min(by, g.tokensAt+span(g.pace/(1-g.tokens))))
 		}
 	}
 	return at
 }
 
 // crammed tells whether a route or its gate holds too many slots. Guards against silent or very slow routes
-// that would fill the slots before any time-out tells: while the oldest calls are overdue, only a few may be
-// out. A jam of the whole fleet looks alike; it ends with the first answer.
+// that would fill the slots before any time-out: while the oldest calls are overdue, only a few may be out.
 func (s *Sender) crammed(r *route) bool {
 	full := r.gate.out >= max(2, int(gateShare*float64(s.set.Slots)))
 	return s.set.Slots > 0 && (full || s.overdue(r, min(streakSkip, max(1, s.set.Slots/4))))
@@ -315,10 +313,7 @@
 		return
 	}
 	s.refill(g, paceBurst)
-	if g.pace > paceFree*math.Max(1, s.lastSecond(g)) {
-		return
-	}
-	if s.usedUp(g) {
+	if g.pace > paceFree*math.Max(1, s.lastSecond(g)) || s.usedUp(g) {
 		return
 	}
 	growth := 1 + paceCreep
@@ -486,7 +481,7 @@
 		c = &Class{Effect: Unsafe, Ordered: true, Aim: e.Left / 2, GiveUp: e.Left, Value: 1}
 		c.Attempts = s.set.MaxAttempts
 	}
-	m := &message{id: e.ID, class: c, dest: s.destination(e.Destination)}
+	m := &message{id: e.ID, class: c, dest: s.destination(e.Destination), tryAt: never}
 	m.deadline = s.now + e.Left - endMargin
 	m.due = s.now + c.Aim - max(0, c.GiveUp-e.Left)
 	m.rank = s.now + time.Duration(float64(m.due-s.now)/math.Max(c.Value, 0.01))
@@ -524,9 +519,8 @@
 }
 
 // noRoom tells whether a new message would join a queue longer than half as much again as the room that is
-// left, or a third of that where it lies beyond its customer's share: it is not taken on. So one queue has
-// three fifths of all room at most, two three eighths each, and what may go at once finds room. None who was
-// taken on is pushed out: its client no longer looks elsewhere.
+// left, or a third of that beyond its customer's share: it is not taken on. So one queue has three fifths of
+// the room at most. None who was taken on is pushed out: its client no longer looks elsewhere.
 func (s *Sender) noRoom(d *dest, over bool) bool {
 	room := float64(s.set.MaxHeld - s.held)
 	if over {
@@ -602,9 +596,8 @@
 }
 
 // mayAttempt is the one guard of all sends. It tells when a send of m to r keeps the rules;
-// math.MaxInt64 if never as things stand.
+// never if never as things stand.
 func (s *Sender) mayAttempt(m *message, r *route) time.Duration {
-	const never = time.Duration(math.MaxInt64)
 	// Rule 1: nothing after the end, nothing past the time or the attempts.
 	if m.ended || s.now >= m.deadline || m.class.Attempts > 0 && m.sends >= m.class.Attempts {
 		return never
@@ -645,7 +638,7 @@
 
 // choose returns the first route in order that takes the message now; else nil and when one may.
 func (s *Sender) choose(m *message) (*route, time.Duration) {
-	second, soonest := (*route)(nil), time.Duration(math.MaxInt64)
+	second, soonest := (*route)(nil), time.Duration(never)
 	for _, g := range m.dest.gates {
 		var best *route
 		for _, r := range g.routes {
@@ -657,8 +650,8 @@
 			if r.down && m.class.Effect == Unsafe {
 				at = max(at, m.deadline-(m.deadline-m.due)/2)
 			}
-			if at < math.MaxInt64 {
-				at = max(at, s.opensAt(r), s.gathers(m, r))
+			if at < never {
+				at = max(at, s.opensAt(r, m.tryAt), s.gathers(m, r))
 			}
 			if at > s.now {
 				soonest = min(soonest, at)
@@ -682,17 +675,18 @@
 
 // next finds the destination's next message that may go, or when one may.
 func (s *Sender) next(d *dest) {
-	d.cand, d.candRt, d.opens = nil, nil, math.MaxInt64
+	d.cand, d.candRt, d.opens = nil, nil, never
+	owes := slices.ContainsFunc(d.queue, func(m *message) bool { return m.tryAt < never })
 	for _, g := range d.gates {
 		for _, r := range g.routes {
-			d.opens = min(d.opens, s.opensAt(r))
+			d.opens = min(d.opens, s.opensAt(r, never))
 		}
 	}
-	if d.opens > s.now {
+	if !owes && d.opens > s.now {
 		return
 	}
-	d.opens = math.MaxInt64
-	for i := 0; i < len(d.queue) && i < scanDepth; i++ {
+	d.opens = never
+	for i := 0; i < len(d.queue) && (i < scanDepth || owes); i++ {
 		r, at := s.choose(d.queue[i])
 		if r != nil {
 			d.cand, d.candRt, d.opens = d.queue[i], r, 0
@@ -750,7 +744,7 @@
 // The client may come again elsewhere, to a sender that was told less.
 func (s *Sender) release(d *dest) {
 	for i := len(d.queue) - 1; i >= 0; i-- {
-		if m := d.queue[i]; d.opens < math.MaxInt64 && d.opens >= m.deadline && s.mayRefuse(m) {
+		if m := d.queue[i]; m.tryAt == never && d.opens < never && d.opens >= m.deadline && s.mayRefuse(m) {
 			s.refuse(m)
 		}
 	}
@@ -784,7 +778,7 @@
 	}
 	s.unqueue(m)
 	m.out = append(m.out, attempt{m.sends, c})
-	m.sends++
+	m.sends, m.tryAt = m.sends+1, never
 	c.left++
 	cut := s.cutAt(m, c.r)
 	if c.cut == 0 || cut < c.cut {
--- a/policy/resume.go
+++ b/policy/resume.go
@@ -8,6 +8,8 @@
 // What a real relay needs beyond the simulator's events: messages that outlast a process, and calls that take
 // time to leave.
 
+const owedFrom, owedUntil = 0.25, 0.75 // of its time left: when a message of the journal is called at the latest
+
 // resume gives a message what an earlier process knew of it, so that the guards hold across a restart. Guards
 // also against a backlog that a fresh Sender, free of any pace, would pour onto hosts as one: the pace of its
 // destination starts at this sender's part.
@@ -30,6 +32,11 @@
 			s.paced(g)
 		}
 	}
+	// What the journal holds and has surely not run is called whatever the pace: at a time drawn for each, so that a fleet
+	// that comes back as one does not pour its journals out as one.
+	if left := m.deadline - s.now; !m.ran && left > 0 {
+		m.tryAt = s.now + time.Duration((owedFrom+(owedUntil-owedFrom)*s.rng.Float64())*float64(left))
+	}
 }
 
 // MayStill tells whether a message may leave for a route at now, though its call was decided earlier. Guards against
--- a/policy/resume_test.go
+++ b/policy/resume_test.go
@@ -170,3 +170,90 @@
 		t.Errorf("after the window: %v", got)
 	}
 }
+
+// A fleet of 300 found 9,180 messages in its journals, and gave 9,069 of them up at once: a sender's part of a limit was a call
+// in 100 s, and who waits for a pace that opens after its time was refused. What is found untried is called, in a time
+// drawn for each, and held until it can be where a wait, a skip, a cold route or an unknown list is in the way.
+func TestWhatARestartFindsUntriedIsTried(t *testing.T) {
+	const found, left = 30, 12 * time.Second
+	route := Listing{Route: "a", Destination: 5, Weight: 3, InService: true}
+	for name, c := range map[string]struct {
+		listed time.Duration // the list comes so long after the start
+		wait   time.Duration // told with an answer at the start
+		fails  time.Duration // calls fail for so long
+	}{
+		"nothing in the way": {},
+		"no list":            {listed: 3 * time.Second},
+		"a told wait":        {wait: 3 * time.Second},
+		"an outage":          {fails: 3 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			set := resumeSettings()
+			set.Senders, set.Slots, set.OverloadWindow, set.WarmWithin, set.OverloadFactor = 300, 6, 2*time.Second, 10*time.Second, 1.5
+			calls := make([]int, 3)
+			tried, given := 0, 0
+			for seed := range uint64(40) {
+				s, err := New(set, seed)
+				if err != nil {
+					t.Fatal(err)
+				}
+				start := time.Minute
+				var evs []Event
+				if c.listed == 0 {
+					evs = append(evs, Event{Kind: ListWhole, List: []Listing{route}})
+				}
+				if c.wait > 0 {
+					evs = append(evs, Event{Kind: Finished, ID: 999, Route: "a", Outcome: OK, Wait: c.wait})
+				}
+				for id := range uint32(found) {
+					evs = append(evs, Event{Kind: Taken, ID: id, Destination: 5, Left: left, Resumed: &Resumed{}})
+				}
+				called := map[uint32]bool{}
+				for now := start; now < start+left; now += 10 * time.Millisecond {
+					if c.listed > 0 && now == start+c.listed {
+						evs = append(evs, Event{Kind: ListWhole, List: []Listing{route}})
+					}
+					acts := s.Step(now, evs)
+					evs = []Event{{Kind: Woken}}
+					for _, a := range acts {
+						switch a.Kind {
+						case Send:
+							if now < start+c.wait {
+								t.Fatalf("called %v after the start, told to wait", now-start)
+							}
+							if !called[a.ID] {
+								calls[min(2, int(3*(now-start)/left))]++
+							}
+							n := 0
+							if called[a.ID] {
+								n = 1
+							}
+							called[a.ID] = true
+							e := Event{Kind: Finished, ID: a.ID, Attempt: n, Route: "a", Outcome: OK, Ended: true, Took: 10 * ms}
+							if now < start+c.fails {
+								e.Outcome, e.Ended = ConnectFailed, false
+							}
+							evs = append(evs, e)
+						case Refuse, Fail:
+							if !called[a.ID] {
+								given++
+							}
+						}
+					}
+				}
+				tried += len(called)
+			}
+			// An outage is told of by the calls that fail, and a cold route takes few: those may run out of time, held to its end.
+			least := 40 * found * 9 / 10
+			if name == "an outage" {
+				least = 40
+			}
+			if tried < least || given > 40*found-tried {
+				t.Errorf("%d of %d called, %d given up with no call", tried, 40*found, given)
+			}
+			if sum := calls[0] + calls[1] + calls[2]; name == "nothing in the way" && (calls[0] > sum/2 || calls[1] < sum/4) {
+				t.Errorf("calls by thirds of the time left: %v", calls)
+			}
+		})
+	}
+}
--- a/policy/size_test.go
+++ b/policy/size_test.go
@@ -187,7 +187,7 @@
 			t.Fatal("not sparse")
 		}
 		s.halve(r, sample{outcome: Full, sent: s.now})
-		if calls := (s.opensAt(r) - s.now).Seconds() * r.gate.pace; calls < 0.4 || calls > 1.6 {
+		if calls := (s.opensAt(r, never) - s.now).Seconds() * r.gate.pace; calls < 0.4 || calls > 1.6 {
 			t.Errorf("seed %d: away for %.1f calls' time", seed, calls)
 		}
 	}
--- a/policy/snapshot.go
+++ b/policy/snapshot.go
@@ -124,7 +124,7 @@
 
 func (m *message) fields() record {
 	return record{"due": &m.due, "deadline": &m.deadline, "rank": &m.rank, "sends": &m.sends, "ranAt": &m.ranAt,
-		"ran": &m.ran, "ranZone": &m.ranZone, "timeouts": &m.timeouts, "ended": &m.ended}
+		"ran": &m.ran, "ranZone": &m.ranZone, "timeouts": &m.timeouts, "tryAt": &m.tryAt, "ended": &m.ended}
 }
 
 func (b *bucket) fields() record { return record{"level": &b.level, "at": &b.at} }
@@ -284,7 +284,7 @@
 	if terms == nil {
 		terms = &Class{Effect: Unsafe, Ordered: true, Attempts: s.set.MaxAttempts}
 	}
-	m := &message{id: x.ID, class: terms, dest: s.destination(x.Dest), avoid: s.routes[x.Avoid]}
+	m := &message{id: x.ID, class: terms, dest: s.destination(x.Dest), avoid: s.routes[x.Avoid], tryAt: never}
 	if err := x.Fields.into(m.fields()); err != nil {
 		return err
 	}
--- a/policy/state.go
+++ b/policy/state.go
@@ -11,6 +11,9 @@
 
 // The records that the decisions in policy.go are made on, and their upkeep. Nothing is decided here.
 
+// never is a time that does not come.
+const never = time.Duration(math.MaxInt64)
+
 // gate is the scope that shares a limit, a pace, told waits and outages: a destination, or one route
 // where its kind has separate routes.
 type gate struct {
@@ -118,6 +121,7 @@
 	avoid    *route // failed this message last
 	ended    bool
 	queued   bool
+	tryAt    time.Duration // of the journal, and not called yet: no pace holds it back from then on
 }
 
 // turn is the order of one key.
@@ -532,8 +536,8 @@
 	c.r.calls = append(c.r.calls, c)
 	s.lastSecond(g)
 	g.sent = append(g.sent, s.now)
-	if g.pace > 0 {
-		g.tokens--
+	if g.pace > 0 { // what goes without the pace's leave makes no debts
+		g.tokens = math.Max(g.tokens-1, math.Min(g.tokens, 0))
 	}
 	if c.r.cold {
 		g.credit--
