Know of a change of the list within 6 s whatever call failed, and read indented lists

Need: a change counts as told 6 s after discovery had it and could be reached, whatever failed, was refused or was given up in between; lists may come indented. A list over several lines was "unreadable line" for good. Bytes in the middle of a list counted as life.

Change: `listClock` (listclock.go) bounds silence, answers and pauses, and `worst` adds the longest way up; a test holds it under 6 s for every fleet up to 1,000 relays, pushed and asked. Lists are read as JSON values of any form, 1 MiB and one silence long at most; changes with an older version make the next call ask for everything; a whole list without "servers" is turned down. Ended watches are logged once in 10 s with their number. Notices on a connection that fell silent are given up after 150 ms, not 1 s, so that the next try is still in time.

The old bound of 30 calls a second for 80 relays that ask cannot hold under the new term (30 a second is a pause of 8 s): its test now wants at most 60 and every gap under the clock's, where all at once is 80 and short pauses over 200.

--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -285,6 +285,9 @@
 	if err := json.Unmarshal(data, &l); err != nil {
 		return List{}, err
 	}
+	if l.Full && l.Servers == nil { // cut or mangled: a list of nobody says so
+		return List{}, errors.New(`a whole list without "servers"`)
+	}
 	return List{Version: l.Version, Full: l.Full, Entries: l.Servers}, nil
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -216,11 +216,10 @@
 		parts.Go(func() { r.fleet.run(work) })
 	}
 	list := follower{
-		watcher: watcher{log: r.log, client: r.agent, addr: r.cfg.Discovery, silence: watchSilence,
+		watcher: watcher{log: r.log, client: r.agent, addr: r.cfg.Discovery, clock: clockOf(r.cfg.Settings),
 			told: func(l List) { r.post(l) }, rng: rand.New(rand.NewPCG(r.cfg.Seed, 0))},
 		version: r.cfg.Known.Version,
 	}
-	list.first, list.most = pauses(r.cfg.Settings)
 	list.late = r.cfg.Settings.AskList && len(r.cfg.Known.Entries) > 0
 	list.move(deciding, r.cfg.Discovery)
 	parts.Go(func() { r.followMoves(deciding, &list) })
