Write a request only on a connection on which nothing has come, in one step with the look

Need: a kept connection that the host closes, resets or writes on as a call takes it is no clean one. Half a line or an answer that came before the call was read as its answer. A write that the system turned down counted as written, since the library tells of the request before it flushes.

Change: `lineConn` books what comes in one step with the system's read (`readBooked`), a call begins only where the reader waits with nothing left over, looks once more before the first byte, and is made on the next connection where anything has come: its messages are asked after again (`clear`), and no outcome is told. Nothing that was read before the request is an answer to it. A request whose last byte was not written never ran.

Tests: FIN, close, RST, half a line and an answer on a kept connection with the reader held up; 18 ends of a connection by FIN and RST; each seen to fail without its guard; -race -count=20.

--- a/internal/relay/figures.go
+++ b/internal/relay/figures.go
@@ -65,6 +65,13 @@
 	}
 }
 
+// untried takes back a message of whose call not all was written after all.
+func (t *tally) untried() {
+	if t != nil {
+		t.tries.Add(-1)
+	}
+}
+
 // ending is how a message ended, as the figures have it.
 type ending int
 
--- a/internal/relay/hosts.go
+++ b/internal/relay/hosts.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/base64"
 	"encoding/json"
@@ -17,6 +18,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"wallflow/policy"
@@ -114,30 +116,36 @@
 }
 
 // do makes a call and tells the end of each of its attempts, in their order. clear is asked once more, before
-// the request is written, which of them may leave where a new connection had to come up first.
+// the request is written, which of them may leave where a new connection had to come up first. A kept connection on which
+// the host's close, or rubbish, has come by then carries nothing: the call goes on the next one.
 func (h *hosts) do(ctx context.Context, c *call, clear func(*call) []*attempt) []result {
 	ctx, cancel := context.WithDeadline(ctx, c.until)
 	defer cancel()
-	conn, fresh, err := h.conn(ctx, c.addr)
-	if err != nil {
-		return alike(c, result{outcome: policy.ConnectFailed})
-	}
-	going := c
-	if fresh {
-		// While the connection came up, a drain or a wait may have been told, or a message's time to be repeated ended.
-		// A host that was away answers the second try for a connection, a whole second after the first.
-		going = c.only(clear(c))
-	}
-	if len(going.attempts) == 0 {
-		h.put(c.addr, conn)
-		return alike(c, result{outcome: policy.Moot})
-	}
-	req, err := newRequest(ctx, going)
-	if err != nil {
-		h.put(c.addr, conn)
-		return alike(c, result{outcome: policy.Moot})
+	for again := false; ; again = true {
+		conn, fresh, err := h.conn(ctx, c.addr)
+		if err != nil {
+			return alike(c, result{outcome: policy.ConnectFailed})
+		}
+		going := c
+		if fresh || again {
+			// While the connection came up, a drain or a wait may have been told, or a message's time to be repeated ended.
+			// A host that was away answers the second try for a connection, a whole second after the first.
+			going = c.only(clear(c))
+		}
+		if len(going.attempts) == 0 {
+			h.put(c.addr, conn)
+			return alike(c, result{outcome: policy.Moot})
+		}
+		req, err := newRequest(ctx, going)
+		if err != nil {
+			h.put(c.addr, conn)
+			return alike(c, result{outcome: policy.Moot})
+		}
+		results, spent := h.exchange(req, going, conn)
+		if spent || fresh || ctx.Err() != nil {
+			return c.all(going, results)
+		}
 	}
-	return c.all(going, h.exchange(req, going, conn))
 }
 
 // only is a call of some of its attempts.
@@ -162,17 +170,20 @@
 	return results
 }
 
-// exchange writes the request and reads its answer.
-func (h *hosts) exchange(req *http.Request, c *call, conn *http.ClientConn) []result {
+// exchange writes the request and reads its answer. Not spent is a request whose last byte was not written.
+func (h *hosts) exchange(req *http.Request, c *call, conn *http.ClientConn) (ends []result, spent bool) {
 	ctx, cancel := context.WithCancel(req.Context())
 	defer cancel()
 	h.mu.Lock()
 	line := h.lines[conn]
 	h.mu.Unlock()
-	if line != nil {
-		line.begin()
+	if line == nil {
+		line = &lineConn{wrote: true} // of a dial that is not dialHost's: nothing is known of its lines
+	} else if !line.begin() {
+		h.drop(conn)
+		return alike(c, result{outcome: policy.ConnectFailed}), false
 	}
-	var written atomic.Bool
+	var written atomic.Bool // as far as the library knows, which still holds some of it back
 	trace := &httptrace.ClientTrace{WroteRequest: func(i httptrace.WroteRequestInfo) {
 		if i.Err != nil {
 			return
@@ -185,11 +196,22 @@
 	res, err := conn.RoundTrip(req.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	if err != nil {
 		h.drop(conn)
-		if len(c.attempts) == 1 && written.Load() && line != nil && line.ok() {
-			return alike(c, result{outcome: policy.OK}) // the rest cannot be read, but it was delivered
+		whole := written.Load() && !line.cut()
+		if written.Load() && !whole {
+			for _, a := range c.attempts {
+				a.m.tally.untried()
+			}
+		}
+		if len(c.attempts) == 1 && whole && line.ok() {
+			return alike(c, result{outcome: policy.OK}), true // the rest cannot be read, but it was delivered
 		}
 		// The last byte tells: without it no host has begun. Whatever is doubtful may have run.
-		return alike(c, result{outcome: broken(req.Context(), written.Load())})
+		return alike(c, result{outcome: broken(req.Context(), whole)}), whole
+	}
+	if !line.answers() { // it came before the request did, and is no answer to it
+		res.Body.Close()
+		h.drop(conn)
+		return alike(c, result{outcome: policy.ConnectFailed}), false
 	}
 	if len(c.attempts) == 1 {
 		// The head tells all: a body that does not come must keep neither the message nor the slot.
@@ -203,15 +225,27 @@
 	} else {
 		h.put(c.addr, conn)
 	}
-	return h.results(req.Context(), c, res, body, err)
+	return h.results(req.Context(), c, res, body, err), true
 }
 
+// errStale is why a request was not written: on its connection the host has said something, or has closed it.
+var errStale = errors.New("the connection was not clean")
+
+// readerComes is how long a request waits for the connection's reader to have done with the answer before.
+const readerComes = 50 * time.Millisecond
+
 // lineConn keeps the beginning of each answer on a connection to a host, its status line, for when the library
-// cannot make sense of what follows.
+// cannot make sense of what follows. And it has no request written on a connection on which something has come before it:
+// a close, or bytes that would be taken for its answer. The library looks for these too, but not in one step with the write.
 type lineConn struct {
 	net.Conn
-	mu   sync.Mutex
-	line []byte
+	raw     syscall.RawConn // nil: it is no socket
+	mu      sync.Mutex
+	line    []byte
+	wrote   bool          // a request has begun to be written since begin
+	failed  bool          // a write of it did, or was turned down
+	reading bool          // the library waits for more: it has nothing left of the answer before
+	reads   chan struct{} // closed, and made anew, when it begins to
 }
 
 // okLine is how long the part of a status line is that tells of a delivery.
@@ -225,28 +259,98 @@
 	if err != nil {
 		return nil, err
 	}
-	line := &lineConn{Conn: conn}
+	return keepLine(ctx, conn), nil
+}
+
+// keepLine puts a lineConn around a connection, and leaves it where the context says.
+func keepLine(ctx context.Context, conn net.Conn) *lineConn {
+	line := &lineConn{Conn: conn, raw: rawOf(conn), reads: make(chan struct{})}
 	if dialed, ok := ctx.Value(lineKey{}).(chan *lineConn); ok {
 		dialed <- line // has room for the one
 	}
-	return line, nil
+	return line
 }
 
-// begin forgets the answer before.
-func (c *lineConn) begin() {
+// begin forgets the call before. It tells whether the connection is clean: nothing is left of the answer before, for the library
+// reads on only then. The library must not wait for an answer yet.
+func (c *lineConn) begin() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.line = c.line[:0]
+	if !c.reading {
+		reads, late := c.reads, time.NewTimer(readerComes)
+		defer late.Stop()
+		c.mu.Unlock()
+		select {
+		case <-reads:
+		case <-late.C:
+		}
+		c.mu.Lock()
+	}
+	c.line, c.wrote, c.failed = c.line[:0], false, false
+	return c.reading
 }
 
 func (c *lineConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
 	c.mu.Lock()
-	defer c.mu.Unlock()
+	c.reading = true
+	close(c.reads)
+	c.reads = make(chan struct{})
+	c.mu.Unlock()
+	return readBooked(c.Conn, c.raw, &c.mu, b, func(n int, err error) (int, error) { return c.took(b, n, err) })
+}
+
+// took books what was read. Its caller has the lock.
+func (c *lineConn) took(b []byte, n int, err error) (int, error) {
+	c.reading = false
+	if !c.wrote { // it is no answer, and the request must not be written any more
+		c.failed = true
+		return 0, cmp.Or(err, errStale)
+	}
 	c.line = append(c.line, b[:min(n, okLine-len(c.line))]...)
 	return n, err
 }
 
+// Write writes a part of a request.
+func (c *lineConn) Write(b []byte) (int, error) {
+	if !c.clean() {
+		return 0, errStale
+	}
+	n, err := c.Conn.Write(b)
+	if err != nil {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.failed = true
+	}
+	return n, err
+}
+
+// clean looks, before the first byte of a request, whether anything has come on the connection since begin, read or not.
+func (c *lineConn) clean() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.wrote {
+		c.wrote = true
+		came, ended := pending(c.raw)
+		c.failed = c.failed || came || ended
+	}
+	return !c.failed
+}
+
+// answers tells whether what was read can be an answer: the request had begun to be written. Otherwise none of it will be.
+func (c *lineConn) answers() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.failed = c.failed || !c.wrote
+	return !c.failed
+}
+
+// cut tells whether the request was not written whole.
+func (c *lineConn) cut() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.failed
+}
+
 // ok tells whether the answer's first line says 200.
 func (c *lineConn) ok() bool {
 	c.mu.Lock()
