Close a client's connection in one step with the look, and read on where it was answered

Need: a close over unread bytes resets the connection and takes an answer along that is on its way; who is pushed out of a full door must not be one whose request was read. Seen by reading and by tests: `admit` looked (`unread`) and closed in two steps, with a request read in between; net/http closes a kept connection at once behind its last answer, so that a next request on it made a reset (a test's client read "connection reset by peer" where an answer and an end are owed).

Change: what is read is booked in one step with the system's read (`readBooked`), `pushOut` decides under the same lock, and what comes later is read by nobody; a hand-in on a connection that is closed by then is not taken on (`wholeRequest`).

Ruled out: waiting in all closes. Silent strangers, half requests and peers that have ended their sending are closed at once.

Tests over loopback, -race -count=20: bytes before, with and after the close; a reader held before its read, a request read in part, a request in the moment between the decision and the close. Each seen to fail without its guard.

--- a/internal/relay/clients.go
+++ b/internal/relay/clients.go
@@ -119,7 +119,9 @@
 		turnAway(w, bodyStatus(err), "body unreadable, or over 64 KiB")
 		return
 	}
-	wholeRequest(req.Context())
+	if !wholeRequest(req.Context()) {
+		return // its connection is closed
+	}
 	in := &handIn{m: m, class: c, reply: make(chan answer, 1)}
 	if !r.post(in) {
 		c.tally.count(handedBack)
--- a/internal/relay/door.go
+++ b/internal/relay/door.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"log/slog"
 	"net"
 	"net/http"
@@ -32,6 +33,11 @@
 	// queueFor is how long a listener that is about to close goes without a connection first: closed with some in
 	// its queue, it would reset them.
 	queueFor = 20 * time.Millisecond
+
+	// lingerFor is how long a connection that was answered is read on after its end, so that nothing unread resets it and
+	// takes the answer along; lingerMost is how much of it.
+	lingerFor  = 300 * time.Millisecond
+	lingerMost = 1 << 20
 )
 
 // door is the listener that clients come through. It holds so many connections at most, as a LimitListener
@@ -51,32 +57,49 @@
 	left     chan struct{} // closed and made anew when a connection ends or changes its state
 	shed     int           // closed at the cap since the last line that told so
 	loggedAt time.Time
+
+	over atomic.Bool // the process ends: no connection is read on
 }
 
 // guest is a connection that tells when it was last heard of.
 type guest struct {
 	net.Conn
+	raw  syscall.RawConn // nil: it is no socket
+	door *door
 
-	mu    sync.Mutex
-	begun bool      // something of a request has been read since the last answer
-	hung  bool      // it was hung up on
-	due   time.Time // the server's deadline for reading
+	mu       sync.Mutex
+	begun    bool      // something of a request has been read since the last answer
+	hung     bool      // it was hung up on
+	due      time.Time // the server's deadline for reading
+	shut     bool      // closed from here: nothing that is read goes to the server any more
+	answered bool      // something was written
+	left     bool      // the peer has ended its sending
+	lingers  bool      // it is read on after its end
+	whole    bool      // its request has come, all of it
 
 	heard  atomic.Int64 // Unix time in nanoseconds of its last byte; 0: none has come
 	pieces atomic.Int64 // that it sent
-	whole  atomic.Bool  // its request has come, all of it
 	client atomic.Bool  // it has handed a message in
 }
 
 // guestKey is the key of a request's context under which its guest stands.
 type guestKey struct{}
 
-// wholeRequest notes that all of a hand-in has come: its connection is not to make room for another.
-func wholeRequest(ctx context.Context) {
-	if g, ok := ctx.Value(guestKey{}).(*guest); ok {
-		g.whole.Store(true)
-		g.client.Store(true)
+// wholeRequest notes that all of a hand-in has come: its connection is not to make room for another. False: it has, and the
+// hand-in is not to be taken on, since its answer has nowhere to go.
+func wholeRequest(ctx context.Context) bool {
+	g, ok := ctx.Value(guestKey{}).(*guest)
+	if !ok {
+		return true
 	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.shut {
+		return false
+	}
+	g.whole = true
+	g.client.Store(true)
+	return true
 }
 
 // follow has a server tell the door of its connections, and requests of their guest.
@@ -88,24 +111,53 @@
 }
 
 func (g *guest) Read(b []byte) (int, error) {
-	n, err := g.Conn.Read(b)
-	if n > 0 {
+	return readBooked(g.Conn, g.raw, &g.mu, b, g.took)
+}
+
+// took books what was read. Its caller has the lock.
+func (g *guest) took(n int, err error) (int, error) {
+	switch {
+	case g.shut:
+		return 0, net.ErrClosed // closed by now: a request on it must not be served
+	case n > 0:
 		g.heard.Store(time.Now().UnixNano())
 		g.pieces.Add(1)
-		g.begin()
+		g.begun = true
+		if g.hung { // which is taken back
+			g.hung = false
+			g.Conn.SetReadDeadline(g.due)
+		}
 	}
+	g.left = g.left || err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
 	return n, err
 }
 
-// begin notes that something of a request has been read, which takes back that the connection was hung up on.
-func (g *guest) begin() {
+// pushOut closes the connection for another, and tells whether it did: not one whose request has come, nor one on which the next
+// has begun, nor one on which something waits to be read. What comes from then on is read by nobody.
+func (g *guest) pushOut(idle bool) bool {
 	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.begun = true
-	if g.hung {
-		g.hung = false
-		g.Conn.SetReadDeadline(g.due)
+	leave := g.lingers || !g.whole && !(idle && g.begun) && !g.unread()
+	g.shut = g.shut || leave
+	g.mu.Unlock()
+	if leave {
+		g.Conn.Close() // waits for a reader, who may wait for the lock
+	}
+	return leave
+}
+
+// Close ends the connection. One that was answered ends its sending first and takes in what still comes, up to a bound: a close
+// over bytes that nobody has read would reset it, and take along an answer that is on its way.
+func (g *guest) Close() error {
+	g.mu.Lock()
+	half, can := g.Conn.(interface{ CloseWrite() error })
+	lingers := !g.shut && can && g.answered && !g.left && !g.door.over.Load()
+	g.shut, g.lingers = true, lingers
+	g.mu.Unlock()
+	if lingers && half.CloseWrite() == nil {
+		g.Conn.SetReadDeadline(time.Now().Add(lingerFor))
+		io.Copy(io.Discard, io.LimitReader(g.Conn, lingerMost)) // however it ends
 	}
+	return g.Conn.Close()
 }
 
 // hangUp has the server end the connection, if nothing of a request has come. Closed from here, it would take along what the
@@ -138,33 +190,30 @@
 // done with this one.
 func (g *guest) Write(b []byte) (int, error) {
 	g.mu.Lock()
-	g.begun = false
+	g.begun, g.answered = false, true
 	g.mu.Unlock()
 	return g.Conn.Write(b)
 }
 
-// asks tells whether something of a request has been read that has no answer yet.
-func (g *guest) asks() bool {
+// state tells whether something of a request has been read that has no answer yet, whether all of it has, and whether the
+// connection is read on after its end.
+func (g *guest) state() (begun, whole, lingers bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.begun
+	return g.begun, g.whole, g.lingers
 }
 
 // unread tells whether something has come that was not read yet.
 func (g *guest) unread() bool {
-	sock, ok := g.Conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := sock.SyscallConn()
-	if err != nil {
-		return false
-	}
-	n := 0
-	raw.Control(func(fd uintptr) { // fails where it is closed already
-		n, _, _ = syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	})
-	return n > 0
+	came, _ := pending(g.raw)
+	return came
+}
+
+// rest notes that the request has its answer.
+func (g *guest) rest() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.whole = false
 }
 
 // CloseWrite ends the answer and leaves the peer time to take it in, where the connection can.
@@ -198,7 +247,7 @@
 	if err != nil {
 		return nil, err
 	}
-	conn := &guest{Conn: raw}
+	conn := &guest{Conn: raw, raw: rawOf(raw), door: d}
 	for {
 		wait, left := d.admit(conn)
 		if wait <= 0 {
@@ -229,7 +278,6 @@
 			return wait, d.left
 		}
 		delete(d.visits, victim)
-		victim.Close()
 		d.shed++
 		if now.Sub(d.loggedAt) >= doorLogEvery {
 			d.log.Warn("client connections at the cap, silent ones closed", "cap", d.most, "closed", d.shed)
@@ -240,14 +288,20 @@
 	return 0, nil
 }
 
-// mostSilent returns the connection to close: the one that has shown least, and of those the one longest silent.
+// mostSilent closes one connection: the one that has shown least, and of those the one longest silent.
 // Where all are too young or busy it returns how long until one may be old enough.
 func (d *door) mostSilent(now time.Time) (victim net.Conn, wait time.Duration) {
 	for {
 		victim, wait = d.leastLikely(now)
 		g, ok := victim.(*guest)
-		if !ok || !g.unread() {
-			return victim, wait
+		switch {
+		case victim == nil:
+			return nil, wait
+		case !ok:
+			victim.Close()
+			return victim, 0
+		case g.pushOut(d.visits[victim].state == http.StateIdle):
+			return victim, 0
 		}
 		// More has come and is about to be read: it makes progress.
 		g.heard.Store(now.UnixNano())
@@ -282,14 +336,20 @@
 // alone after. Negative: it is one's, and busy.
 func standing(conn net.Conn, v visit) (rank int, grace time.Duration, last time.Time) {
 	g, ok := conn.(*guest)
+	var begun, whole, lingers bool
+	if ok {
+		begun, whole, lingers = g.state()
+	}
 	switch {
-	case v.state == http.StateIdle && ok && g.asks():
+	case lingers:
+		return 0, 0, v.since
+	case v.state == http.StateIdle && begun:
 		return -1, 0, v.since // its next request is being read
 	case v.state == http.StateIdle && ok && !g.client.Load():
 		return 1, silentGrace, v.since // it asked for health alone, and has its answer
 	case v.state == http.StateIdle:
 		return 2, spareAfter, v.since
-	case v.state != http.StateNew && (!ok || g.whole.Load()):
+	case v.state != http.StateNew && (!ok || whole):
 		return -1, 0, v.since
 	case !ok || g.heard.Load() == 0:
 		return 0, silentGrace, v.since
@@ -311,7 +371,7 @@
 	default:
 		d.visits[conn] = visit{state, time.Now()}
 		if g, ok := conn.(*guest); ok && state == http.StateIdle {
-			g.whole.Store(false)
+			g.rest()
 		}
 	}
 	if state != http.StateActive {
@@ -380,16 +440,22 @@
 }
 
 // finish hangs up on all who ask nothing, and waits for so long at most until every request that came whole has its answer.
+// From then on connections close at once.
 func (d *door) finish(most time.Duration) {
+	defer d.over.Store(true)
 	end := time.NewTimer(most)
 	defer end.Stop()
 	for {
 		d.mu.Lock()
 		owed, left := false, d.left
 		for conn, v := range d.visits {
-			if g, ok := conn.(*guest); ok && g.whole.Load() && v.state != http.StateIdle {
-				owed = true
-			} else if ok {
+			g, ok := conn.(*guest)
+			if !ok {
+				continue
+			}
+			if _, whole, lingers := g.state(); lingers || whole && v.state != http.StateIdle {
+				owed = true // its answer, or that this reaches its client
+			} else {
 				g.hangUp()
 			}
 		}
