Hold the six rules against drawn settings of any customer

Need: the property test's settings were of one shape. Sixty plays now draw classes and effects, windows from 1 s, deadlines from 0.3 to 60 s, shares or none, limits, one to 300 senders, lists pushed or asked for.

--- a/policy/property_test.go
+++ b/policy/property_test.go
@@ -18,6 +18,7 @@
 	rule     int
 	settings func(*Settings)
 	event    func(*Event)
+	drawn    bool // not that, but settings of any customer
 }
 
 type trial struct {
@@ -99,9 +100,38 @@
 	}
 }
 
-func newWorld(seed uint64) *world {
+// anySettings are those that any customer may have.
+func anySettings(rng *rand.Rand) Settings {
+	span := func(least, most time.Duration) time.Duration { // more of the short ones
+		return least + time.Duration(float64(most-least)*rng.Float64()*rng.Float64())
+	}
+	set := Settings{
+		Kinds: []Kind{{Separate: rng.IntN(2) == 0, PerCall: 1 + rng.IntN(10)}, {Separate: rng.IntN(2) == 0, PerCall: 1 + 4*rng.IntN(2)}},
+		Slots: 2 + rng.IntN(20), MaxHeld: 16 + rng.IntN(300), MaxAttempts: 2 + rng.IntN(12),
+		Senders:   []int{1, 2, 3, 7, 30, 300}[rng.IntN(6)],
+		NoWeights: rng.IntN(2) == 0, AskList: rng.IntN(2) == 0, MaxRetryAfter: span(0, 5*time.Second),
+		ColdShare: 0.05 + 0.4*rng.Float64(), WarmWithin: 5*time.Second + span(0, 20*time.Second),
+		OverloadFactor: 1 + rng.Float64(), OverloadWindow: time.Second + span(0, 3*time.Second),
+		OrderPause: span(0, 400*time.Millisecond),
+	}
+	for range 1 + rng.IntN(6) {
+		c := Class{Effect: []Effect{Safe, Keyed, Unsafe}[rng.IntN(3)], GroupAll: rng.IntN(2) == 0, Ordered: rng.IntN(4) == 0,
+			Window: time.Second + span(0, 9*time.Second), GiveUp: span(300*time.Millisecond, time.Minute), Value: 4 * rng.Float64()}
+		c.Aim = max(100*time.Millisecond, time.Duration(rng.Float64()*float64(c.GiveUp)))
+		set.Classes = append(set.Classes, c)
+	}
+	for range rng.IntN(4) {
+		set.Customers = append(set.Customers, Customer{Quota: 8 * rng.Float64()})
+	}
+	return set
+}
+
+func newWorld(seed uint64, drawn bool) *world {
 	rng := rand.New(rand.NewPCG(seed, 7))
 	w := &world{rng: rng, set: randomSettings(rng), now: time.Minute, broken: map[int]string{}, nextID: 1}
+	if drawn {
+		w.set = anySettings(rng)
+	}
 	w.outage = map[int][2]time.Duration{}
 	for d := range 4 {
 		for i := range 1 + rng.IntN(3) {
@@ -366,7 +396,7 @@
 // play runs one world and returns the rules broken.
 func play(t *testing.T, seed uint64, b blind) *world {
 	t.Helper()
-	w := newWorld(seed)
+	w := newWorld(seed, b.drawn)
 	start := func() (*Sender, []Event) {
 		set := w.set
 		set.Classes = slices.Clone(set.Classes)
@@ -458,6 +488,24 @@
 	}
 }
 
+// The rules hold under the settings of any customer: any classes and effects, windows of a second and more, shares or none, limits,
+// costs and deadlines, one sender or hundreds.
+func TestSixRulesUnderAnySettings(t *testing.T) {
+	answered := 0
+	for seed := range uint64(60) {
+		w := play(t, 1000+seed, blind{drawn: true})
+		for rule := 1; rule <= 6; rule++ {
+			if w.broken[rule] != "" {
+				t.Errorf("seed %d, rule %d: %s; %+v", seed, rule, w.broken[rule], w.set)
+			}
+		}
+		answered += w.answered
+	}
+	if answered < 60*100 {
+		t.Errorf("%d answered in all: the runs show too little", answered)
+	}
+}
+
 // Equal events give equal actions.
 func TestDeterminism(t *testing.T) {
 	a, b := play(t, 3, blind{}), play(t, 3, blind{})
