Keep the doubt in a cold destination over a restart, so that the ramp holds for the fleet

Need: what all processes send a destination that comes back cold must stay within N + 2 x root of N + 2, N the settings' calls in their time, with restarts in the ramp. Seen with module instances over an injected clock, all or most of which restart 2 s after the return: 20 senders made 125 calls where 86 are borne, 30 made 134 of 88, 300 made 152 of 91, 700 made 122 of 89; at a customer's window of 1 s 50 of 23. Such a process knew nothing of the outage and began at its part of the whole limit.

Ruled out: the number of senders, whole calls and their rounding, free first calls, bundles, bad weights: without restarts no play of 2, 3, 20, 30, 300 and 700 senders went over, at three customers' figures, before and after.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -369,6 +369,9 @@
 		known.Full = true
 		evs = append(evs, r.list(known))
 	}
+	if len(found.Doubts) > 0 {
+		evs = append(evs, r.recalled(found.Doubts))
+	}
 	for _, w := range found.Messages {
 		m := r.newMessage(w, r.classOf(w))
 		m.sends = w.Attempts
@@ -398,6 +401,32 @@
 	r.carryOut(r.sender.Step(r.now(), evs), nil)
 }
 
+// noteDoubts has the log know what the module knows of outages, for the next process.
+func (r *Relay) noteDoubts() {
+	var now []wal.Doubt
+	for _, d := range r.sender.Doubts() {
+		x := wal.Doubt{Host: d.Route, Slight: d.Slight}
+		if d.Back > 0 {
+			x.Back = time.Now().Add(-d.Back)
+		}
+		now = append(now, x)
+	}
+	r.wal.Doubt(now)
+}
+
+// recalled tells the module what the process before knew of outages.
+func (r *Relay) recalled(found []wal.Doubt) policy.Event {
+	e := policy.Event{Kind: policy.Recalled}
+	for _, d := range found {
+		x := policy.Doubt{Route: d.Host, Slight: d.Slight}
+		if !d.Back.IsZero() {
+			x.Back = max(1, time.Since(d.Back))
+		}
+		e.Doubts = append(e.Doubts, x)
+	}
+	return e
+}
+
 // newMessage is a message of a class, nil where its terms are lost.
 func (r *Relay) newMessage(w *wal.Message, c *class) *message {
 	m := &message{Message: w, class: c}
@@ -549,7 +578,9 @@
 		for _, in := range fresh {
 			evs = append(evs, r.taken(r.msgs[in.m.ID]))
 		}
-		r.carryOut(r.sender.Step(now, evs), fresh)
+		acts := r.sender.Step(now, evs)
+		r.noteDoubts()
+		r.carryOut(acts, fresh)
 	} else {
 		r.carryOut(nil, fresh)
 	}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -439,3 +439,54 @@
 	}
 	return s
 }
+
+// A process that is killed while a destination is in an outage, or warms up, leaves what it knows of it to the next one, whether
+// that one's first list has the route or not.
+func TestDoubtOutlastsTheProcess(t *testing.T) {
+	for _, listed := range []bool{true, false} {
+		r := newTestRelay(t)
+		r.callCtx = t.Context()
+		for id := range uint32(3) { // refused connections in a row
+			in := &handIn{m: &wal.Message{Trace: fmt.Sprint(id), Key: "k", Dest: 7, Deadline: time.Now().Add(patience)}, class: r.names.Load().classes["order"], reply: make(chan answer, 1)}
+			r.step([]any{in})
+		}
+		for end := time.Now().Add(patience); len(r.sender.Doubts()) == 0 && time.Now().Before(end); {
+			select {
+			case e := <-r.events:
+				r.step([]any{e})
+			case <-time.After(10 * time.Millisecond):
+				r.step(nil)
+			}
+		}
+		want := fmt.Sprint(r.sender.Doubts())
+		if want == "[]" {
+			t.Fatal("no doubt came of refused connections")
+		}
+		cfg := r.cfg
+		if err := r.lock.Release(); err != nil { // the kill: nothing more is written
+			t.Fatal(err)
+		}
+		known := cfg.Known
+		if !listed {
+			cfg.Known = List{}
+		}
+		next, err := New(cfg, quiet())
+		if err != nil {
+			t.Fatal(err)
+		}
+		next.callCtx = t.Context()
+		next.resume()
+		if !listed {
+			next.step([]any{known})
+		}
+		if got := fmt.Sprint(next.sender.Doubts()); got != want {
+			t.Errorf("listed at the start %v: %s, wanted %s", listed, got, want)
+		}
+		next.calls.Wait()
+		r.calls.Wait()
+		if err := next.leaveLog(); err != nil {
+			t.Fatal(err)
+		}
+		next.hosts.close()
+	}
+}
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -10,9 +10,11 @@
 	"errors"
 	"fmt"
 	"hash/crc32"
+	"maps"
 	"os"
 	"path/filepath"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -66,9 +68,26 @@
 	Attempt Attempt
 }
 
+// Doubt is that a host may be in an outage or coming back from one: what is sent there is held back, over restarts too.
+type Doubt struct {
+	Host   string
+	Slight bool      `json:",omitempty"`
+	Back   time.Time // its first delivery after the outage; zero: none yet
+	Over   bool      `json:",omitempty"`
+}
+
+// sameBack is how far apart two readings of one moment may be, since each is told as so long ago.
+const sameBack = time.Second / 2
+
+func (d Doubt) equal(o Doubt) bool {
+	back := d.Back.IsZero() == o.Back.IsZero() && d.Back.Sub(o.Back).Abs() < sameBack
+	return d.Host == o.Host && d.Slight == o.Slight && back
+}
+
 // Recovery is what Open found.
 type Recovery struct {
 	Messages []*Message // unfinished, in the order in which they were taken on
+	Doubts   []Doubt    // by host
 	// Damaged tells that records before the last were unreadable: a message's sends may be missing from it.
 	Damaged bool
 	// Unreadable is how many bytes no record could be read from: damage, a torn tail, or a file that is not the log's.
@@ -83,6 +102,7 @@
 	recFinal
 	recEnd
 	recTerms
+	recDoubt
 )
 
 const (
@@ -109,6 +129,7 @@
 	N       int      `json:",omitempty"`
 	Final   *Final   `json:",omitempty"`
 	Terms   *Terms   `json:",omitempty"`
+	Doubt   *Doubt   `json:",omitempty"`
 }
 
 // Log is an open log. It is not safe for concurrent use.
@@ -123,11 +144,12 @@
 	last  uint32           // the highest number given to terms
 	bytes int64            // that the live messages would take in a new file, about
 	notes []byte           // outcomes and ends not yet written
+	doubt map[string]Doubt // by host
 }
 
 // Open reads the log in dir, or begins one, that may take limit bytes of disk.
 func Open(dir string, limit int64) (*Log, Recovery, error) {
-	l := &Log{dir: dir, limit: limit, live: map[uint32]*Message{}, terms: map[uint32]Terms{}}
+	l := &Log{dir: dir, limit: limit, live: map[uint32]*Message{}, terms: map[uint32]Terms{}, doubt: map[string]Doubt{}}
 	// A crash in mid-compaction leaves the old file whole and a part of the new one.
 	if err := os.Remove(filepath.Join(dir, tempName)); err != nil && !errors.Is(err, os.ErrNotExist) {
 		return nil, Recovery{}, fmt.Errorf("wal: %w", err)
@@ -148,7 +170,7 @@
 		return nil, Recovery{}, fmt.Errorf("wal: drop a torn tail: %w", err)
 	}
 	l.size = good
-	return l, Recovery{Messages: l.messages(), Damaged: damaged, Unreadable: unreadable}, nil
+	return l, Recovery{Messages: l.messages(), Doubts: l.doubts(), Damaged: damaged, Unreadable: unreadable}, nil
 }
 
 // Close writes what is noted and closes the file.
@@ -222,6 +244,31 @@
 	return nil
 }
 
+// Doubt notes all hosts that are in doubt now; those noted before and not among them are so no more.
+func (l *Log) Doubt(now []Doubt) {
+	in := map[string]bool{}
+	for _, d := range now {
+		in[d.Host] = true
+		if was, ok := l.doubt[d.Host]; !ok || !was.equal(d) {
+			l.doubt[d.Host] = d
+			l.notes = appendRecord(l.notes, record{Kind: recDoubt, Doubt: &d}, nil)
+		}
+	}
+	for _, d := range l.doubts() {
+		if !in[d.Host] {
+			delete(l.doubt, d.Host)
+			l.notes = appendRecord(l.notes, record{Kind: recDoubt, Doubt: &Doubt{Host: d.Host, Over: true}}, nil)
+		}
+	}
+}
+
+// doubts are the hosts in doubt, by name.
+func (l *Log) doubts() []Doubt {
+	all := slices.Collect(maps.Values(l.doubt))
+	slices.SortFunc(all, func(a, b Doubt) int { return strings.Compare(a.Host, b.Host) })
+	return all
+}
+
 // NeverRan notes an outcome which proves that attempt n took no effect. Any other outcome changes nothing of
 // what a restart has to go by.
 func (l *Log) NeverRan(m *Message, n int) {
@@ -300,6 +347,9 @@
 	for _, n := range l.inUse {
 		keep(n)
 	}
+	for _, d := range l.doubts() {
+		buf = appendRecord(buf, record{Kind: recDoubt, Doubt: &d}, nil)
+	}
 	for _, m := range l.messages() {
 		keep(m.Terms)
 		buf = appendRecord(buf, record{Kind: recAccept, ID: m.ID, Message: m}, m.Body)
@@ -386,6 +436,13 @@
 			l.last = max(l.last, rec.ID)
 		}
 		return
+	case rec.Kind == recDoubt:
+		if d := rec.Doubt; d != nil && d.Over {
+			delete(l.doubt, d.Host)
+		} else if d != nil {
+			l.doubt[d.Host] = *d
+		}
+		return
 	case rec.Kind == recAccept && rec.Message != nil:
 		m = rec.Message
 		m.ID, m.Body = rec.ID, slices.Clone(body)
--- a/internal/wal/wal_test.go
+++ b/internal/wal/wal_test.go
@@ -292,3 +292,41 @@
 		t.Errorf("a record of %d bytes counts as %d", got, cost(m))
 	}
 }
+
+// What is in doubt is known to the next process, through a compaction as well, and written once for each change.
+func TestDoubtsOutlastProcessAndCompaction(t *testing.T) {
+	dir := t.TempDir()
+	l, found := open(t, dir, roomy)
+	if len(found.Doubts) > 0 {
+		t.Fatalf("found %+v", found.Doubts)
+	}
+	all := []Doubt{{Host: "s-1"}, {Host: "s-2", Back: noon}, {Host: "s-3", Slight: true}}
+	l.Doubt(all)
+	must(t, l.Flush())
+	size := l.size
+	l.Doubt([]Doubt{all[0], {Host: "s-2", Back: noon.Add(3 * time.Millisecond)}, all[2]})
+	must(t, l.Flush())
+	if l.size != size {
+		t.Errorf("%d bytes for nothing new", l.size-size)
+	}
+	check := func(when string, want ...string) {
+		t.Helper()
+		_, found := open(t, dir, roomy)
+		var got []string
+		for _, d := range found.Doubts {
+			got = append(got, fmt.Sprint(d.Host, " ", d.Slight, " ", d.Back.Equal(noon)))
+		}
+		if fmt.Sprint(got) != fmt.Sprint(want) {
+			t.Errorf("%s: found %v, want %v", when, got, want)
+		}
+	}
+	check("at first", "s-1 false false", "s-2 false true", "s-3 true false")
+	must(t, l.compact())
+	check("after a compaction", "s-1 false false", "s-2 false true", "s-3 true false")
+	l.Doubt([]Doubt{{Host: "s-1", Back: noon}})
+	must(t, l.Flush())
+	check("after a change", "s-1 false true")
+	l.Doubt(nil)
+	must(t, l.Flush())
+	check("in the end")
+}
--- a/policy/api.go
+++ b/policy/api.go
@@ -106,6 +106,7 @@
 	Ending                       // the process was told to end
 	HandedOver                   // another process decides from here on
 	Configured                   // the settings are others from here on
+	Recalled                     // what the process before knew of outages
 )
 
 // Report is what a destination tells of its limit. It is late and noisy.
@@ -124,6 +125,13 @@
 	RanZone  int           // and to which zone
 }
 
+// Doubt is that a route may be in an outage, or coming back from one, as one process tells it the next.
+type Doubt struct {
+	Route  string
+	Slight bool          // on one failure alone
+	Back   time.Duration // since the first delivery after it; 0: none yet
+}
+
 // RetryAdvice is the least time that a client turned away is told to stay away.
 const RetryAdvice = retryAdvice
 
@@ -132,6 +140,8 @@
 	Kind EventKind
 	ID   uint32 // message
 
+	Doubts []Doubt // Recalled
+
 	// Taken
 	Key         string
 	Class       int
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -147,6 +147,8 @@
 		}
 	case Configured:
 		s.configure(*e.Settings)
+	case Recalled:
+		s.recall(e.Doubts)
 	case Standby:
 		s.turnTo(standby)
 	case Active:
--- a/policy/state.go
+++ b/policy/state.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"slices"
 	"sort"
+	"strings"
 	"time"
 )
 
@@ -155,6 +156,8 @@
 	least    map[int]float64       // by kind: the least limit told
 	scarce   map[int]time.Duration // by kind: connections are scarce until then
 	heard    lowering              // what a gate told last of its limit's fall or return
+	recalled map[string]Doubt      // of routes that the list has not named yet
+	since    time.Duration         // they were told
 	held     int
 	slots    int // used
 	shares   []bucket
@@ -312,6 +315,47 @@
 	r.gate = d.gates[len(d.gates)-1]
 	r.gate.routes = append(r.gate.routes, r)
 	s.opening(r)
+	if d, ok := s.recalled[l.Route]; ok {
+		delete(s.recalled, l.Route)
+		s.again(r, d)
+	}
+}
+
+// Doubts are the routes that may be in an outage or coming back from one, by name.
+func (s *Sender) Doubts() []Doubt {
+	var all []Doubt
+	for _, r := range s.routes {
+		switch {
+		case !r.cold:
+		case r.back == 0:
+			all = append(all, Doubt{Route: r.Route, Slight: r.slight})
+		case s.now < r.back+s.set.WarmWithin:
+			all = append(all, Doubt{r.Route, r.slight, max(1, s.now-r.back)})
+		}
+	}
+	slices.SortFunc(all, func(a, b Doubt) int { return strings.Compare(a.Route, b.Route) })
+	return all
+}
+
+// recall takes on what the process before knew. Guards against a returning destination that is pushed over by a fleet whose
+// processes restart in its warm-up and know nothing of it.
+func (s *Sender) recall(doubts []Doubt) {
+	s.recalled, s.since = map[string]Doubt{}, s.now
+	for _, d := range doubts {
+		if r := s.routes[d.Route]; r != nil {
+			s.again(r, d)
+		} else {
+			s.recalled[d.Route] = d
+		}
+	}
+}
+
+// again puts a route in doubt as it was.
+func (s *Sender) again(r *route, d Doubt) {
+	s.doubt(r)
+	if r.slight = d.Slight; d.Back > 0 {
+		r.back = s.since - d.Back
+	}
 }
 
 func (s *Sender) destination(id int) *dest {
