Have a repeat look at its deduplication window at its first byte, and tell the module when it passed

Need: a window may be as short as 1 s. On a kept connection nobody looked again.

What may not leave ends as not sent, with no fault of the host's.

Tests over loopback on a kept and a new connection, and of the module: seen to fail without the look.

--- a/internal/relay/crossings_test.go
+++ b/internal/relay/crossings_test.go
@@ -137,12 +137,12 @@
 	defer there.Close()
 	go io.Copy(io.Discard, there)
 	c := keepLine(t.Context(), here)
-	if c.begin() {
+	if c.begin(time.Time{}) {
 		t.Error("nobody reads on, and it is clean")
 	}
 	read := make(chan error, 1)
 	go func() { _, err := c.Read(make([]byte, 99)); read <- err }()
-	if !c.begin() {
+	if !c.begin(time.Time{}) {
 		t.Error("all was read, and it is not clean")
 	}
 	io.WriteString(there, "HTTP/1.1 200 OK")
@@ -242,3 +242,35 @@
 type deafWriter struct{ net.Conn }
 
 func (deafWriter) Write([]byte) (int, error) { return 0, syscall.EPIPE }
+
+// A repeat whose deduplication window ends between the decision and its first byte does not leave, on a kept connection or a new
+// one; one whose window is open does.
+func TestARepeatLeavesInsideItsWindowOnly(t *testing.T) {
+	addr, requests := rawHost(t, func(_ int, conn net.Conn, _ *http.Request) bool {
+		io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		return true
+	})
+	h := testHosts(t, testConfig())
+	for i, want := range []policy.Outcome{policy.Moot, policy.OK, policy.Moot, policy.OK} {
+		c := newCall(addr, "a")
+		if c.leaveBy = time.Now().Add(patience); want == policy.Moot {
+			c.leaveBy = time.Now().Add(-time.Millisecond)
+		}
+		if r := h.do(t.Context(), c, yes); r[0].outcome != want {
+			t.Errorf("call %d: %v, wanted %v", i, r[0].outcome, want)
+		}
+		if n := int(requests.Load()); n != (i+1)/2 {
+			t.Errorf("after call %d: %d requests", i, n)
+		}
+	}
+}
+
+// Whatever the limit, the connections of all kinds and the process's own descriptors fit into it together.
+func TestDescriptorsFitTheLimit(t *testing.T) {
+	for n := leastSockets; n <= 4096; n++ {
+		d := shares(n)
+		if sum := d.clients + d.hosts + d.mgmt + ownDescriptors; sum > n || min(d.clients, d.hosts, d.mgmt) < 1 || d.clients < n/8 {
+			t.Fatalf("%d descriptors: %+v and %d of the process's own", n, d, ownDescriptors)
+		}
+	}
+}
--- a/internal/relay/hosts.go
+++ b/internal/relay/hosts.go
@@ -76,6 +76,7 @@
 	zone     int
 	sent     time.Time
 	until    time.Time // given up then
+	leaveBy  time.Time // its first byte must not be written later: a message's deduplication window ends. Zero: at any time
 	attempts []*attempt
 	size     int // of the body, at most, if it carries several
 }
@@ -142,6 +143,9 @@
 			return alike(c, result{outcome: policy.Moot})
 		}
 		results, spent := h.exchange(req, going, conn)
+		if !spent && !c.leaveBy.IsZero() && time.Now().After(c.leaveBy) {
+			return alike(c, result{outcome: policy.Moot}) // and the host is not at fault
+		}
 		if spent || fresh || ctx.Err() != nil {
 			return c.all(going, results)
 		}
@@ -179,7 +183,7 @@
 	h.mu.Unlock()
 	if line == nil {
 		line = &lineConn{wrote: true} // of a dial that is not dialHost's: nothing is known of its lines
-	} else if !line.begin() {
+	} else if !line.begin(c.leaveBy) {
 		h.drop(conn)
 		return alike(c, result{outcome: policy.ConnectFailed}), false
 	}
@@ -244,6 +248,7 @@
 	line    []byte
 	wrote   bool          // a request has begun to be written since begin
 	failed  bool          // a write of it did, or was turned down
+	leaveBy time.Time     // it must not begin to be written later; zero: at any time
 	reading bool          // the library waits for more: it has nothing left of the answer before
 	reads   chan struct{} // closed, and made anew, when it begins to
 }
@@ -271,9 +276,9 @@
 	return line
 }
 
-// begin forgets the call before. It tells whether the connection is clean: nothing is left of the answer before, for the library
+// begin forgets the call before; the next must not begin to be written after leaveBy. It tells whether the connection is clean: nothing is left of the answer before, for the library
 // reads on only then. The library must not wait for an answer yet.
-func (c *lineConn) begin() bool {
+func (c *lineConn) begin(leaveBy time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.reading {
@@ -286,7 +291,7 @@
 		}
 		c.mu.Lock()
 	}
-	c.line, c.wrote, c.failed = c.line[:0], false, false
+	c.line, c.wrote, c.failed, c.leaveBy = c.line[:0], false, false, leaveBy
 	return c.reading
 }
 
@@ -324,14 +329,15 @@
 	return n, err
 }
 
-// clean looks, before the first byte of a request, whether anything has come on the connection since begin, read or not.
+// clean looks, before the first byte of a request, whether anything has come on the connection since begin, read or not, and
+// whether it is still time: between the decision and this there is a journal to write, a connection to come up, a core to wait for.
 func (c *lineConn) clean() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.wrote {
 		c.wrote = true
 		came, ended := pending(c.raw)
-		c.failed = c.failed || came || ended
+		c.failed = c.failed || came || ended || !c.leaveBy.IsZero() && time.Now().After(c.leaveBy)
 	}
 	return !c.failed
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -896,6 +896,9 @@
 	}
 	until := r.started.Add(a.At)
 	c.size += size
+	if by := r.started.Add(a.Leave); a.Leave > 0 && (c.leaveBy.IsZero() || by.Before(c.leaveBy)) {
+		c.leaveBy = by
+	}
 	c.attempts = append(c.attempts, &attempt{call: c, m: m, n: m.sends, until: until})
 	m.sends++
 	m.out++
--- a/policy/api.go
+++ b/policy/api.go
@@ -187,6 +187,7 @@
 	ID    uint32
 	Route string
 	At    time.Duration // Send: time to drop the attempt
+	Leave time.Duration // Send: time after which it must not leave any more; 0: none
 	Delay time.Duration // Refuse: advice to the client; Wake: time from now
 	Door  Door          // Attend
 }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -786,7 +786,7 @@
 	if c.cut == 0 || cut < c.cut {
 		c.cut = cut
 	}
-	s.act(Action{Kind: Send, ID: m.id, Route: c.r.Route, At: cut})
+	s.act(Action{Kind: Send, ID: m.id, Route: c.r.Route, At: cut, Leave: m.leaveBy()})
 	return true
 }
 
--- a/policy/resume_test.go
+++ b/policy/resume_test.go
@@ -257,3 +257,36 @@
 		})
 	}
 }
+
+// A repeat tells until when it may leave; a first try, and what may be repeated at any time, do not.
+func TestARepeatTellsItsWindowsEnd(t *testing.T) {
+	for name, c := range map[string]struct {
+		effect Effect
+		r      Resumed
+		want   time.Duration
+	}{
+		"a first try":     {Keyed, Resumed{}, 0},
+		"never ran":       {Keyed, Resumed{Attempts: 1}, 0},
+		"may have run":    {Keyed, Resumed{Attempts: 1, Ran: true, RanAgo: 400 * ms}, time.Minute + 600*ms - endMargin},
+		"may be repeated": {Safe, Resumed{Attempts: 1, Ran: true, RanAgo: 400 * ms}, 0},
+	} {
+		set := resumeSettings()
+		set.Classes[0].Effect, set.Classes[0].Window = c.effect, time.Second
+		s, err := New(set, 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		sent := false
+		for _, a := range s.Step(time.Minute, []Event{twoZones(), {Kind: Taken, ID: 1, Destination: 5, Left: 8 * time.Second, Resumed: &c.r}}) {
+			if a.Kind == Send {
+				sent = true
+				if a.Leave != c.want {
+					t.Errorf("%s: until %v, wanted %v", name, a.Leave, c.want)
+				}
+			}
+		}
+		if !sent {
+			t.Errorf("%s: not sent", name)
+		}
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -264,6 +264,14 @@
 	return slices.ContainsFunc(d.gates, func(g *gate) bool { return len(g.routes) > 0 })
 }
 
+// leaveBy is the deduplication window's end for a message that may have run; 0: it has none.
+func (m *message) leaveBy() time.Duration {
+	if !m.ran || m.class.Effect != Keyed {
+		return 0
+	}
+	return m.windowEnd()
+}
+
 // touch has a destination looked at again by the next dispatch.
 func (s *Sender) touch(d *dest) { d.opens = 0 }
 
