Be ready without a list, fit all connections into the descriptors, turn down settings without sense

Seen by reading: a process whose known list is empty was not ready until discovery came back (now 3 s after its start; what it takes on is held until a list comes, and no longer than its time). A class of no name, two of one, a deadline that is missing, a negative figure were taken on at the start, and turned down at SIGHUP alone.

A row of the test of failing starts used settings without classes; it has one class now, and six rows more.

Tests: a process with a discovery that accepts and says nothing, no list, killed and started again; seen to fail without the bound.

--- a/cmd/cherrytrestle/start_test.go
+++ b/cmd/cherrytrestle/start_test.go
@@ -1,11 +1,14 @@
 package main
 
 import (
+	"net"
+	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 )
 
 // start runs the program to its end, with nothing but env of ROUTER_ variables.
@@ -52,7 +55,9 @@
 		must(t, os.WriteFile(path, []byte(text), 0o600))
 		return path
 	}
-	const settings = `"settings":{"tick_ms":5}`
+	const class = `{"name":"order","goal_time_ms":10,"give_up_ms":20}`
+	const settings = `"settings":{"tick_ms":5,"services":[` + class + `]}`
+	classes := func(name, list string) string { return file(name, `{"settings":{"services":[`+list+`]}}`) }
 	none, cut := filepath.Join(dir, "none.json"), file("cut.json", "{\"name\":\"n0\",\n \"listen\":\"127.0")
 	comma := file("comma.json", "{\n \"name\":\"n0\",\n}")
 	typed := file("typed.json", "{\n \"limits\":{\"sockets\":\"many\"},\n "+settings+"}")
@@ -70,6 +75,12 @@
 		{[]string{"ROUTER_CONFIG=" + typed}, []string{typed, "line 2", "limits.sockets", "wanted is int"}},
 		{[]string{"ROUTER_CONFIG=" + inner}, []string{inner, "line 4", "tick_ms", "wanted is float64"}},
 		{[]string{"ROUTER_CONFIG=" + empty}, []string{empty, `no \"settings\"`}},
+		{[]string{"ROUTER_CONFIG=" + classes("no.json", "")}, []string{"settings.services: missing, or empty"}},
+		{[]string{"ROUTER_CONFIG=" + classes("two.json", class+","+class)}, []string{"settings.services[1].name", "a name of its own"}},
+		{[]string{"ROUTER_CONFIG=" + classes("aim.json", class+`,{"name":"b","give_up_ms":5}`)}, []string{"settings.services[1]", "goal_time_ms"}},
+		{[]string{"ROUTER_CONFIG=" + classes("minus.json", class+`,{"name":"b","give_up_ms":-5}`)}, []string{"services.1.give_up_ms", "-5"}},
+		{[]string{"ROUTER_CONFIG=" + file("few.json", `{"limits":{"sockets":20},`+settings+`}`)}, []string{"limits.sockets: 20", "no fewer than 48"}},
+		{[]string{"ROUTER_CONFIG=" + file("factor.json", `{"settings":{"rules":{"overload_factor":-2},"services":[`+class+`]}}`)}, []string{"rules.overload_factor", "-2"}},
 		{[]string{"ROUTER_CONFIG=" + bare}, []string{"ROUTER_LISTEN is not set", bare, "where clients connect"}},
 		{[]string{"ROUTER_CONFIG=" + bare, "ROUTER_LISTEN=127.0.0.1:0"}, []string{"ROUTER_DISCOVERY is not set", bare}},
 		{[]string{"ROUTER_CONFIG=" + bare, "ROUTER_LISTEN=127.0.0.1:0", "ROUTER_DISCOVERY=127.0.0.1:1"}, []string{"ROUTER_STATE is not set", "journal"}},
@@ -85,3 +96,22 @@
 		}
 	}
 }
+
+// A relay whose discovery is away, with no list at all, is ready within ten seconds, takes a message on, and takes it over a kill.
+func TestReadyWithNoDiscoveryAndNoList(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0") // accepts and says nothing
+	must(t, err)
+	defer l.Close()
+	away := &platform{Server: &httptest.Server{Listener: l}}
+	began := time.Now()
+	r := newRelay(t, away, nil, nil)
+	for range 2 {
+		if took := time.Since(began); took > 10*time.Second {
+			t.Errorf("ready after %v", took)
+		}
+		r.take("m1", 60*time.Second) // the second time it is known
+		r.kill()
+		began = time.Now()
+		r.start(away)
+	}
+}
--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -205,6 +205,21 @@
 		return Config{}, err
 	}
 	c.setDefaults()
+	if len(set.Classes) == 0 {
+		return Config{}, errors.New("settings.services: missing, or empty: wanted are the classes of message")
+	}
+	for i, s := range c.Classes {
+		at := fmt.Sprintf("settings.services[%d]", i)
+		if s == "" || slices.Index(c.Classes, s) < i {
+			return Config{}, fmt.Errorf("%s.name: %q, where each wants a name of its own", at, s)
+		}
+		if i < len(set.Classes) && min(set.Classes[i].GiveUp, set.Classes[i].Aim) <= 0 {
+			return Config{}, fmt.Errorf("%s: goal_time_ms or give_up_ms is missing, or not above 0", at)
+		}
+	}
+	if c.Limits.Sockets < leastSockets {
+		return Config{}, fmt.Errorf("limits.sockets: %d, and no fewer than %d will do", c.Limits.Sockets, leastSockets)
+	}
 	return c, nil
 }
 
@@ -285,9 +300,6 @@
 	if err := json.Unmarshal(data, &l); err != nil {
 		return List{}, err
 	}
-	if l.Full && l.Servers == nil { // cut or mangled: a list of nobody says so
-		return List{}, errors.New(`a whole list without "servers"`)
-	}
 	return List{Version: l.Version, Full: l.Full, Entries: l.Servers}, nil
 }
 
--- a/internal/relay/hosts.go
+++ b/internal/relay/hosts.go
@@ -110,7 +110,7 @@
 		connectTimeout: cfg.ConnectTimeout,
 		idleFor:        time.Duration(idleShare * float64(cfg.KeepAlive)),
 		reports:        cfg.Reports,
-		most:           cfg.Limits.Sockets / 3,
+		most:           shares(cfg.Limits.Sockets).hosts,
 		idle:           map[string][]*idleConn{},
 		lines:          map[*http.ClientConn]*lineConn{},
 	}
--- a/internal/relay/listclock.go
+++ b/internal/relay/listclock.go
@@ -114,6 +114,9 @@
 		return List{}, fmt.Errorf("unreadable list: %w", err)
 	}
 	l, err := parseList(raw)
+	if err == nil && l.Full && len(l.Entries) == 0 && !hasKey(raw, "servers") {
+		err = errors.New(`a whole list without "servers"`) // a list of nobody says so
+	}
 	if err != nil {
 		return List{}, fmt.Errorf("unreadable list: %w", err)
 	}
@@ -125,3 +128,13 @@
 	r.alive()
 	return l, nil
 }
+
+// hasKey tells whether a JSON object has a key.
+func hasKey(object json.RawMessage, key string) bool {
+	var keys map[string]json.RawMessage
+	if json.Unmarshal(object, &keys) != nil {
+		return false
+	}
+	_, ok := keys[key]
+	return ok
+}
--- a/internal/relay/mgmt.go
+++ b/internal/relay/mgmt.go
@@ -37,8 +37,25 @@
 	closed bool
 }
 
-// mgmtMost is how many connections the management address holds, as part of all descriptors.
-func mgmtMost(sockets int) int { return min(24, max(4, sockets/24)) }
+// ownDescriptors are those that the process needs beside the connections it is asked for: its standard files, the poller, two
+// listeners, the link to a successor, the journal with its lock and its new file, discovery's watch and notices, the fleet's
+// agent, one client that waits for room.
+const ownDescriptors = 24
+
+// leastSockets is how few descriptors a relay can do with: some of each kind.
+const leastSockets = 48
+
+// descriptors are the most connections of each kind. Together with the process's own they are within the limit, so that no
+// client, however idle, keeps the journal or discovery from a descriptor of theirs.
+type descriptors struct{ clients, hosts, mgmt int }
+
+func shares(sockets int) descriptors {
+	d := descriptors{mgmt: min(24, max(4, sockets/24))}
+	rest := max(2, sockets-ownDescriptors-d.mgmt)
+	d.clients = max(1, min(sockets/2, rest*3/5))
+	d.hosts = max(1, min(sockets/3, rest-d.clients))
+	return d
+}
 
 // run answers until ctx ends.
 func (g *mgmt) run(ctx context.Context) {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -29,6 +29,10 @@
 	// clockStart keeps the module's clock away from 0, which it takes for never.
 	clockStart = time.Second
 
+	// readyUnlisted is how long a process that knows no host waits to hear of some before it says that it is ready: discovery may
+	// be away, and what is taken on is held until it tells.
+	readyUnlisted = 3 * time.Second
+
 	lastAnswers = 200 * time.Millisecond // for what came whole just before the end
 
 	endingStep = 20 * time.Millisecond // how often a relay that ends looks whether anything is left
@@ -207,7 +211,7 @@
 	deciding, letGo := context.WithCancel(work)
 	r.letGo = letGo
 	server := r.newServer()
-	r.entry = newDoor(listener, r.log, r.cfg.Limits.Sockets/2)
+	r.entry = newDoor(listener, r.log, shares(r.cfg.Limits.Sockets).clients)
 	r.entry.follow(server)
 	r.resume() // before clients are told that the relay is ready
 	go r.loop(work)
@@ -227,6 +231,12 @@
 		parts.Go(func() { r.await(deciding, successors) })
 	}
 
+	unlisted := time.AfterFunc(readyUnlisted, func() {
+		if !r.listed.Swap(true) {
+			r.log.Warn("ready without a list: discovery has told none", "discovery", r.cfg.Discovery)
+		}
+	})
+	defer unlisted.Stop()
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(r.entry) }()
 	r.served.Store(true)
@@ -272,7 +282,7 @@
 	if err != nil {
 		return fmt.Errorf("relay: management address: %w", err)
 	}
-	g := &mgmt{listener: l, log: r.log, most: mgmtMost(r.cfg.Limits.Sockets), answer: r.manage}
+	g := &mgmt{listener: l, log: r.log, most: shares(r.cfg.Limits.Sockets).mgmt, answer: r.manage}
 	parts.Go(func() { g.run(ctx) })
 	return nil
 }
--- a/internal/relay/takeover.go
+++ b/internal/relay/takeover.go
@@ -241,9 +241,9 @@
 // makeRoomFor leaves the elder's connections their part of the limits.
 func (r *Relay) makeRoomFor(h held) {
 	if r.entry != nil {
-		r.entry.allow(max(leastRoom, r.cfg.Limits.Sockets/2-h.Clients))
+		r.entry.allow(max(leastRoom, shares(r.cfg.Limits.Sockets).clients-h.Clients))
 	}
-	r.hosts.allow(max(leastRoom, r.cfg.Limits.Sockets/3-h.Hosts))
+	r.hosts.allow(max(leastRoom, shares(r.cfg.Limits.Sockets).hosts-h.Hosts))
 }
 
 // fromElder takes what the elder tells: ends of its calls, and what came in on its connections.
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"strconv"
 	"strings"
 	"time"
@@ -117,16 +118,22 @@
 func (p *pairs) parse(key, value string) float64 {
 	x, err := strconv.ParseFloat(value, 64)
 	if err != nil && p.err == nil {
-		p.err = fmt.Errorf("bad setting %s", key)
+		p.err = fmt.Errorf("bad setting %s: %q is no number", key, clip(value))
 	}
 	return x
 }
 
+// number is a count, a rate, a share or a time: none of them is below 0.
 func (p *pairs) number(key string) float64 {
-	if v, ok := p.values[key]; ok {
-		return p.parse(key, v)
+	v, ok := p.values[key]
+	if !ok {
+		return 0
 	}
-	return 0
+	x := p.parse(key, v)
+	if !(x >= 0 && x <= math.MaxInt64/1e6) && p.err == nil {
+		p.err = fmt.Errorf("bad setting %s: %s is no number from 0 on", key, clip(v))
+	}
+	return x
 }
 
 func (p *pairs) integer(key string) int { return int(p.number(key)) }
