--- a/internal/relay/door.go
+++ b/internal/relay/door.go
@@ -32,7 +32,8 @@
 	sweepEvery = 50 * time.Millisecond
 	// queueFor is how long a listener that is about to close goes without a connection first: closed with some in
 	// its queue, it would reset them.
-	queueFor = 20 * time.Millisecond
+	queueFor  = 20 * time.Millisecond
+	queueMost = 500 * time.Millisecond // however many come
 
 	// lingerFor is how long a connection that was answered is read on after its end, so that nothing unread resets it and
 	// takes the answer along; lingerMost is how much of it.
@@ -58,6 +59,8 @@
 	shed     int           // closed at the cap since the last line that told so
 	loggedAt time.Time
 
+	stopsBy time.Time // the listener closes then at the latest; zero: it does not
+
 	over atomic.Bool // the process ends: no connection is read on
 }
 
@@ -247,6 +250,7 @@
 	if err != nil {
 		return nil, err
 	}
+	d.quiet()
 	conn := &guest{Conn: raw, raw: rawOf(raw), door: d}
 	for {
 		wait, left := d.admit(conn)
@@ -431,12 +435,30 @@
 	}
 }
 
-// stopListening closes the listener once its queue is empty.
+// stopListening closes the listener once nobody has come to it for a while.
 func (d *door) stopListening() {
-	if l, ok := d.Listener.(interface{ SetDeadline(time.Time) error }); ok && l.SetDeadline(time.Now().Add(queueFor)) == nil {
-		return // an Accept ends by it
+	d.mu.Lock()
+	d.stopsBy = time.Now().Add(queueMost)
+	d.mu.Unlock()
+	if !d.quiet() {
+		d.Close()
+	}
+}
+
+// quiet has a listener that is to close wait anew: an Accept ends by its deadline. False: it cannot wait.
+func (d *door) quiet() bool {
+	d.mu.Lock()
+	by := d.stopsBy
+	d.mu.Unlock()
+	if by.IsZero() {
+		return true
+	}
+	until := time.Now().Add(queueFor)
+	if until.After(by) {
+		until = by
 	}
-	d.Close()
+	l, ok := d.Listener.(interface{ SetDeadline(time.Time) error })
+	return ok && l.SetDeadline(until) == nil
 }
 
 // finish hangs up on all who ask nothing, and waits for so long at most until every request that came whole has its answer.
--- a/internal/relay/door_crossings_test.go
+++ b/internal/relay/door_crossings_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -24,7 +25,8 @@
 		t.Fatal(err)
 	}
 	server := r.newServer()
-	d = newDoor(holdingListener{l}, r.log, most)
+	d = newDoor(holdingListener{l.(*net.TCPListener)}, r.log, most)
+	r.entry = d
 	d.follow(server)
 	ctx, stop := context.WithCancel(context.Background())
 	served := make(chan struct{})
@@ -87,10 +89,10 @@
 	return c.TCPConn.Close()
 }
 
-type holdingListener struct{ net.Listener }
+type holdingListener struct{ *net.TCPListener }
 
 func (l holdingListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
+	conn, err := l.TCPListener.Accept()
 	if err != nil {
 		return nil, err
 	}
@@ -152,3 +154,25 @@
 		t.Error("a request on it may still be taken on")
 	}
 }
+
+// A listener that is to close lets in who comes within its quiet time, one after the other, and then no more.
+func TestAListenerClosesOnceNobodyComes(t *testing.T) {
+	r, d, dial := tcpRelay(t, 64)
+	d.attend(policy.Door{IdleFor: -1, Send: true})
+	r.does.Store(&policy.Door{Send: true})
+	for i := range 8 {
+		conn := dial()
+		io.WriteString(conn, request(fmt.Sprint("m", i)))
+		if res, err := http.ReadResponse(bufio.NewReader(conn), nil); err != nil || res.StatusCode != http.StatusAccepted {
+			t.Fatalf("%d: %+v, %v", i, res, err)
+		}
+		time.Sleep(queueFor / 2)
+	}
+	eventually(t, "the listener is closed", func() bool {
+		conn, err := net.Dial("tcp", d.Addr().String())
+		if err == nil {
+			conn.Close()
+		}
+		return err != nil
+	})
+}
