Follow discovery to a new address within 4 s where lists are asked for

A move now waits for as long as after a watch that ended; `moved` adds its longest way up, and the test of the bounds holds it under 4 s for every fleet.

--- a/internal/relay/discovery.go
+++ b/internal/relay/discovery.go
@@ -40,7 +40,7 @@
 	addr   string
 	clock  listClock
 	told   func(List)
-	late   bool // the first watch waits, too
+	before time.Duration // longest pause before the first watch; 0: there is none
 	rng    *rand.Rand
 
 	loggedAt time.Time // when an ended watch was logged last
@@ -51,8 +51,8 @@
 // watches fail: what fails for many relays at one moment must not be asked for again by all at another.
 func (w *watcher) run(ctx context.Context, version int64) {
 	bound, answer := w.clock.first, w.clock.answer
-	if w.late { // it has a list, and all that started together would ask together
-		sleep(ctx, w.upTo(w.clock.start))
+	if w.before > 0 { // it has a list, and all that started or moved together would ask together
+		sleep(ctx, w.upTo(w.before))
 		bound = w.clock.second() // no watch fell silent: there is time
 	}
 	for ctx.Err() == nil {
@@ -114,6 +114,7 @@
 	f.done = make(chan struct{})
 	w := f.watcher
 	w.addr = addr
+	f.before = w.clock.first // a later move is told sooner than a start
 	w.told = func(l List) { f.version = l.Version; f.told(l) }
 	go func(version int64) {
 		defer close(f.done)
--- a/internal/relay/discovery_test.go
+++ b/internal/relay/discovery_test.go
@@ -30,7 +30,8 @@
 		defer cancel()
 		var all sync.WaitGroup
 		for i := range calls {
-			w := watcher{log: quiet(), addr: "discovery", clock: clockOf(set), told: func(List) {}, late: set.AskList}
+			w := watcher{log: quiet(), addr: "discovery", clock: clockOf(set), told: func(List) {}}
+			w.before = w.clock.start
 			w.rng = rand.New(rand.NewPCG(uint64(i), 0))
 			w.client = &http.Client{Transport: tripper(func(req *http.Request) (*http.Response, error) {
 				calls[i] = append(calls[i], time.Since(start))
--- a/internal/relay/listclock.go
+++ b/internal/relay/listclock.go
@@ -19,6 +19,7 @@
 
 const (
 	toldAfter = 6 * time.Second        // a change counts as told
+	movedIn   = 4 * time.Second        // and where discovery has moved: after the signal
 	actWithin = 250 * time.Millisecond // after a list came: reading it, and the loop's step, in a slow process
 
 	// watchSilence is how long a watch may be without a line: one comes every 2 s. So short that a second watch which falls
@@ -72,6 +73,11 @@
 	return max(silent, away, started) + actWithin
 }
 
+// moved is the longest that a change may take after discovery moved, with one call that is given up.
+func (c listClock) moved() time.Duration {
+	return c.first + c.answer + c.second() + min(c.answerMost, 2*c.answer) + actWithin
+}
+
 // listReader reads the lists of a watch: JSON objects that may be indented over many lines, with empty lines between them.
 type listReader struct {
 	body  io.Reader
--- a/internal/relay/listclock_test.go
+++ b/internal/relay/listclock_test.go
@@ -25,6 +25,9 @@
 			if worst := clockOf(policy.Settings{Senders: senders, AskList: ask}).worst(); worst >= toldAfter {
 				t.Fatalf("asked %v, %d senders: %v", ask, senders, worst)
 			}
+			if moved := clockOf(policy.Settings{Senders: senders, AskList: ask}).moved(); moved >= movedIn {
+				t.Fatalf("moved, asked %v, %d senders: %v", ask, senders, moved)
+			}
 		}
 	}
 }
@@ -216,3 +219,33 @@
 	}
 	return len(b), nil
 }
+
+// Where discovery moves under a relay that asks for its lists, the next watch is not put off as at a start, when hundreds ask.
+func TestAMoveIsFollowedInTime(t *testing.T) {
+	set := policy.Settings{Senders: 300, AskList: true}
+	for seed := range uint64(40) {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			asked := make(chan string, 100)
+			f := follower{watcher: watcher{log: quiet(), clock: clockOf(set), told: func(List) {}, rng: rand.New(rand.NewPCG(seed, 0))}}
+			f.before = f.clock.start
+			f.client = &http.Client{Transport: tripper(func(req *http.Request) (*http.Response, error) {
+				asked <- req.URL.Host
+				<-req.Context().Done()
+				return nil, req.Context().Err()
+			})}
+			f.move(ctx, "old")
+			time.Sleep(10 * time.Second)
+			moved := time.Now()
+			f.move(ctx, "new")
+			for host := ""; host != "new"; {
+				host = <-asked
+			}
+			if took := time.Since(moved); took > f.clock.first {
+				t.Errorf("asked after %v", took)
+			}
+			cancel()
+			f.end()
+		})
+	}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -224,7 +224,9 @@
 			told: func(l List) { r.post(l) }, rng: rand.New(rand.NewPCG(r.cfg.Seed, 0))},
 		version: r.cfg.Known.Version,
 	}
-	list.late = r.cfg.Settings.AskList && len(r.cfg.Known.Entries) > 0
+	if len(r.cfg.Known.Entries) > 0 {
+		list.before = list.clock.start
+	}
 	list.move(deciding, r.cfg.Discovery)
 	parts.Go(func() { r.followMoves(deciding, &list) })
 	if successors != nil {
