Log what a restart found and what came of it, and cut or malformed answers, at a bounded rate

Need: found, tried, ended with no call and why are to be counted in the log, the time to ready to be measured, and bad input to be logged at a bounded rate with its place. A start says how many messages it found, how many of them are owed a try, and, once the last of them has ended, the counts; "serving" says how long after the start.

Test: four messages, one past its time, one that may have run, one that was refused before, are counted by their ends.

--- a/internal/relay/hosts.go
+++ b/internal/relay/hosts.go
@@ -209,6 +209,9 @@
 		if len(c.attempts) == 1 && whole && line.ok() {
 			return alike(c, result{outcome: policy.OK}), true // the rest cannot be read, but it was delivered
 		}
+		if whole && req.Context().Err() == nil && len(line.said()) > 0 {
+			h.oddity(c.route, "answer", err.Error()) // cut or malformed
+		}
 		// The last byte tells: without it no host has begun. Whatever is doubtful may have run.
 		return alike(c, result{outcome: broken(req.Context(), whole)}), whole
 	}
@@ -226,6 +229,9 @@
 	res.Body.Close()
 	if err != nil {
 		h.drop(conn)
+		if req.Context().Err() == nil {
+			h.oddity(c.route, "body of an answer", err.Error())
+		}
 	} else {
 		h.put(c.addr, conn)
 	}
@@ -350,6 +356,13 @@
 	return !c.failed
 }
 
+// said is the beginning of the answer.
+func (c *lineConn) said() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return string(c.line)
+}
+
 // cut tells whether the request was not written whole.
 func (c *lineConn) cut() bool {
 	c.mu.Lock()
@@ -439,7 +452,7 @@
 	switch res.StatusCode {
 	case http.StatusOK:
 		if len(c.attempts) > 1 {
-			return bundleResults(ctx, c, r, body, readErr)
+			return h.bundleResults(ctx, c, r, body, readErr)
 		}
 		r.outcome = policy.OK // with the first line: the body means nothing
 	case http.StatusTooManyRequests:
@@ -464,13 +477,14 @@
 }
 
 // bundleResults reads the end of each message of a bundle. One that is missing or unreadable may have run.
-func bundleResults(ctx context.Context, c *call, r result, body []byte, readErr error) []result {
+func (h *hosts) bundleResults(ctx context.Context, c *call, r result, body []byte, readErr error) []result {
 	unread := r
 	unread.outcome = policy.Error
 	var raw []json.RawMessage
 	if readErr != nil {
 		unread.outcome = broken(ctx, true)
-	} else if json.Unmarshal(body, &raw) != nil {
+	} else if err := json.Unmarshal(body, &raw); err != nil {
+		h.oddity(c.route, "answer to a bundle", err.Error())
 		raw = nil
 	}
 	states := make(map[string]string, len(raw))
@@ -533,7 +547,7 @@
 	if h.log == nil || time.Since(h.oddAt) < oddEvery {
 		return
 	}
-	h.log.Warn("nonsense in an answer passed over", "route", route, "field", field, "value", value[:min(len(value), 40)],
+	h.log.Warn("nonsense in an answer passed over", "route", route, "field", field, "value", value[:min(len(value), 80)],
 		"times", h.odd)
 	h.oddAt, h.odd = time.Now(), 0
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -70,6 +70,10 @@
 	again     bool // a further connection was told that it is taken on
 	withdrawn bool // its client left before any answer
 
+	found    bool // an earlier process took it on
+	foundRan bool // and it may have run by then
+	called   bool // a call of it has left in this process
+
 	class   *class // nil: its terms are lost, and the strictest hold
 	tally   *tally
 	counted bool // its end is in the figures
@@ -118,6 +122,11 @@
 	later   []policy.Event // for the next step
 	full    bool           // the log took no new work last
 
+	oddEntryAt time.Time // when an entry that cannot be read was logged last
+	oddEntries int       // and how many came since
+
+	recovered recovery // what this process found, and what came of it
+
 	noSends, idled bool
 	looking        bool // a look is to come
 
@@ -242,7 +251,7 @@
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(r.entry) }()
 	r.served.Store(true)
-	r.log.Info("serving", "name", r.cfg.Name, "listen", listener.Addr().String())
+	r.log.Info("serving", "name", r.cfg.Name, "listen", listener.Addr().String(), "after", time.Since(r.started)-clockStart)
 	err = r.wait(ctx, served)
 	r.ending.Store(true)
 	r.entry.finish(lastAnswers)
@@ -401,6 +410,10 @@
 			r.notify(m)
 		default:
 			r.held++
+			m.found, m.foundRan = true, len(m.MayRun) > 0
+			if r.recovered.found++; !m.foundRan {
+				r.recovered.untried++
+			}
 			evs = append(evs, r.resumed(m))
 		}
 	}
@@ -408,7 +421,8 @@
 		r.log.Warn("a part of the journal was unreadable and is passed over", "bytes", found.Unreadable)
 	}
 	if len(found.Messages) > 0 || found.Damaged {
-		r.log.Info("recovered", "messages", len(found.Messages), "damaged", found.Damaged)
+		r.log.Info("recovered", "messages", len(found.Messages), "owed_a_try", r.recovered.untried, "may_have_run",
+			r.recovered.found-r.recovered.untried, "damaged", found.Damaged)
 	}
 	r.carryOut(r.sender.Step(r.now(), evs), nil)
 }
@@ -773,9 +787,16 @@
 
 // done books that the module has done with a message.
 func (r *Relay) done(m *message) {
-	if !m.ended {
-		m.ended = true
-		r.held--
+	if m.ended {
+		return
+	}
+	m.ended = true
+	r.held--
+	if m.found {
+		r.recovered.ended(m, time.Now())
+		if r.recovered.left() == 0 {
+			r.log.Info("recovered messages have ended", "counts", r.recovered)
+		}
 	}
 }
 
@@ -800,7 +821,7 @@
 	for _, raw := range l.Entries {
 		entry, addr, err := r.cfg.listing(raw)
 		if err != nil {
-			r.log.Warn("unreadable entry of the list", "entry", string(raw), "err", err)
+			r.oddEntry(raw, err)
 			if known, ok := r.routes[entry.Route]; ok {
 				routes[entry.Route] = known
 				e.List = append(e.List, known.Listing)
@@ -828,6 +849,16 @@
 	return e
 }
 
+// oddEntry says that an entry of a list cannot be read: once in a while, with how often that came.
+func (r *Relay) oddEntry(raw []byte, err error) {
+	r.oddEntries++
+	if time.Since(r.oddEntryAt) < oddEvery {
+		return
+	}
+	r.log.Warn("unreadable entry of the list", "entry", string(raw[:min(len(raw), 200)]), "err", err, "times", r.oddEntries)
+	r.oddEntryAt, r.oddEntries = time.Now(), 0
+}
+
 // carryOut does what the module has decided: first in the log, in one write, then on the sockets.
 func (r *Relay) carryOut(acts []policy.Action, fresh []*handIn) {
 	answers := make(map[uint32]answer, len(fresh))
@@ -914,6 +945,7 @@
 	c.attempts = append(c.attempts, &attempt{call: c, m: m, n: m.sends, until: until})
 	m.sends++
 	m.out++
+	m.called = true
 	if len(c.attempts) == 1 || until.After(c.until) == r.cfg.MayDuplicate {
 		c.until = until // where a second copy may be out, the rest of a call outlasts one message's time-out
 	}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -4,10 +4,12 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -490,3 +492,53 @@
 		next.hosts.close()
 	}
 }
+
+// What a process found is counted by what came of it.
+func TestWhatARestartFindsIsCounted(t *testing.T) {
+	r := newTestRelay(t)
+	class := r.names.Load().classes["order"]
+	ms := make([]*wal.Message, 4)
+	for i, left := range []time.Duration{patience, -time.Second, patience, patience} {
+		ms[i] = &wal.Message{ID: uint32(i + 1), Trace: fmt.Sprint(i), Key: "k", Dest: 7, Terms: class.wal, Deadline: time.Now().Add(left)}
+	}
+	if err := r.wal.Accept(ms...); err != nil {
+		t.Fatal(err)
+	}
+	for _, i := range []int{2, 3} { // long ago: the window is over
+		if err := r.wal.Sent(wal.Send{Message: ms[i], Attempt: wal.Attempt{Host: "s-1", At: time.Now().Add(-time.Hour)}}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	r.wal.NeverRan(ms[3], 0)
+	if err := errors.Join(r.wal.Flush(), r.lock.Release()); err != nil {
+		t.Fatal(err)
+	}
+	addr, _ := rawHost(t, func(_ int, conn net.Conn, _ *http.Request) bool {
+		io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		return true
+	})
+	cfg := r.cfg
+	cfg.Known.Entries = []json.RawMessage{bytes.ReplaceAll(cfg.Known.Entries[0], []byte("127.0.0.1:1"), []byte(addr))}
+	next, err := New(cfg, quiet())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer next.hosts.close()
+	next.callCtx = t.Context()
+	next.resume()
+	if got := next.recovered; got.found != 4 || got.untried != 3 || got.other != 1 || got.late != 1 {
+		t.Errorf("at the start %+v", got)
+	}
+	for end := time.Now().Add(2 * patience); next.recovered.left() > 0 && time.Now().Before(end); {
+		select {
+		case e := <-next.events:
+			next.step([]any{e})
+		case <-time.After(10 * time.Millisecond):
+			next.step(nil)
+		}
+	}
+	if got := next.recovered; got.called != 2 || got.early != 0 || got.left() != 0 {
+		t.Errorf("in the end %+v", got)
+	}
+	next.calls.Wait()
+}
