Send the relay signals across its start and its end

Read: the signals are taken before the configuration is read and until the process returns, so that a second SIGTERM changes nothing; one that meets a start is found by `wait`. No fault was found.

--- a/cmd/cherrytrestle/start_test.go
+++ b/cmd/cherrytrestle/start_test.go
@@ -1,12 +1,14 @@
 package main
 
 import (
+	"fmt"
 	"net"
 	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -115,3 +117,42 @@
 		r.start(away)
 	}
 }
+
+// Signals meet each other and the start: a second SIGTERM, a SIGHUP before and behind one, a SIGTERM at any moment of a start or of
+// the reading of a journal. The process ends by itself, or by the signal where it was not yet heard, and the next one has all.
+func TestSignalsCross(t *testing.T) {
+	p := newPlatform(t)
+	r := newRelay(t, p, []member{listed("s-1", "127.0.0.1:1", "a", "gateway", "draining")}, nil) // takes nothing new: they are held
+	held := 0
+	for ; held < 20; held++ {
+		r.take(fmt.Sprint("m", held), 5*time.Minute)
+	}
+	for _, signals := range [][]os.Signal{{syscall.SIGHUP, syscall.SIGTERM}, {syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM}} {
+		for _, s := range signals {
+			must(t, r.cmd.Process.Signal(s))
+		}
+		began := time.Now()
+		if err := r.cmd.Wait(); err != nil {
+			t.Fatalf("%v: %v", signals, err)
+		}
+		if took := time.Since(began); took > 3700*time.Millisecond {
+			t.Errorf("%v: ended after %v", signals, took)
+		}
+		r.start(p)
+	}
+	r.kill()
+	for _, wait := range []time.Duration{0, 3 * time.Millisecond, 8 * time.Millisecond, 30 * time.Millisecond} {
+		r.spawn(p)
+		time.Sleep(wait)
+		r.cmd.Process.Signal(syscall.SIGTERM)
+		err := r.cmd.Wait()
+		state := r.cmd.ProcessState.Sys().(syscall.WaitStatus)
+		if err != nil && !(state.Signaled() && state.Signal() == syscall.SIGTERM) {
+			t.Errorf("a SIGTERM %v after the start: %v", wait, err)
+		}
+	}
+	r.start(p)
+	eventually(t, "all that was taken on is held", func() bool {
+		return strings.Contains(manage(t, r.mgmt, "stats"), fmt.Sprintf("relay.active=%d\n", held))
+	})
+}
