--- a/internal/relay/crossings_test.go
+++ b/internal/relay/crossings_test.go
@@ -274,3 +274,32 @@
 		}
 	}
 }
+
+// A notice whose connection has fallen silent is with the platform on another one within the 300 ms that it has.
+func TestASilentConnectionHoldsNoNoticeUp(t *testing.T) {
+	addr, _ := rawHost(t, func(n int, conn net.Conn, _ *http.Request) bool {
+		if n != 2 { // the first is answered, the second falls silent
+			io.WriteString(conn, "HTTP/1.1 204 No Content\r\n\r\n")
+		}
+		return true
+	})
+	taken := make(chan []uint32, 9)
+	f := newFinals(quiet(), newAgentClient(), addr, func(ids []uint32) { taken <- ids })
+	ctx, stop := context.WithCancel(t.Context())
+	ran := make(chan struct{})
+	go func() { defer close(ran); f.run(ctx) }()
+	for id := range uint32(2) {
+		began := time.Now()
+		f.add(notice{id: id, ID: "x", Status: "undeliverable"})
+		select {
+		case <-taken:
+		case <-time.After(patience):
+			t.Fatal("never taken")
+		}
+		if took := time.Since(began); took > 300*time.Millisecond {
+			t.Errorf("notice %d: taken after %v", id, took)
+		}
+	}
+	stop()
+	<-ran
+}
