Let no answer out on a connection that is being closed for another

Seen on reading the change again: between the decision to close a connection (`pushOut`) and the system's close, a handler that found it shut returned with nothing said, and the library says 200 for it: a message that was not taken on, told as taken on. The handler aborts now, and the connection writes nothing once it is shut. Test of both; seen to fail before.

--- a/internal/relay/clients.go
+++ b/internal/relay/clients.go
@@ -120,7 +120,7 @@
 		return
 	}
 	if !wholeRequest(req.Context()) {
-		return // its connection is closed
+		panic(http.ErrAbortHandler) // its connection is closed, and nothing else is an answer
 	}
 	in := &handIn{m: m, class: c, reply: make(chan answer, 1)}
 	if !r.post(in) {
--- a/internal/relay/door.go
+++ b/internal/relay/door.go
@@ -193,8 +193,12 @@
 // done with this one.
 func (g *guest) Write(b []byte) (int, error) {
 	g.mu.Lock()
+	shut := g.shut
 	g.begun, g.answered = false, true
 	g.mu.Unlock()
+	if shut { // the library answers what its handler did not: that must not reach a client whose request is not taken on
+		return 0, net.ErrClosed
+	}
 	return g.Conn.Write(b)
 }
 
--- a/internal/relay/door_crossings_test.go
+++ b/internal/relay/door_crossings_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -176,3 +177,29 @@
 		return err != nil
 	})
 }
+
+// A connection that was decided to be closed carries no answer any more, in the moment before the system closes it: what the
+// library says for a handler that said nothing would be taken for a yes.
+func TestAConnectionBeingClosedCarriesNoAnswer(t *testing.T) {
+	r := newTestRelay(t)
+	here, there := net.Pipe()
+	defer here.Close()
+	defer there.Close()
+	g := &guest{Conn: there, door: newDoor(nil, quiet(), 1), shut: true}
+	req := handInRequest(context.WithValue(t.Context(), guestKey{}, g), "m1")
+	func() {
+		defer func() {
+			if p := recover(); p != http.ErrAbortHandler {
+				t.Errorf("the handler ended with %v", p)
+			}
+		}()
+		req.SetPathValue("class", "order")
+		r.handIn(httptest.NewRecorder(), req)
+	}()
+	if len(r.events) > 0 {
+		t.Error("it was taken on")
+	}
+	if n, err := g.Write([]byte("HTTP/1.1 200 OK")); n != 0 || err == nil {
+		t.Errorf("written %d, %v", n, err)
+	}
+}
