--- a/internal/relay/hosts.go
+++ b/internal/relay/hosts.go
@@ -89,6 +89,10 @@
 	until time.Time
 	timer *time.Timer // ends it before the rest of its call; nil if it ends with it
 	over  bool        // its outcome is told
+
+	// journaled tells that the log has it: nothing of it may be written before. It is the loop's; a call that waits for the loop's
+	// word may read it.
+	journaled bool
 }
 
 // result is how an attempt ended.
@@ -128,7 +132,7 @@
 			return alike(c, result{outcome: policy.ConnectFailed})
 		}
 		going := c
-		if fresh || again {
+		if fresh || again || !c.journaled() {
 			// While the connection came up, a drain or a wait may have been told, or a message's time to be repeated ended.
 			// A host that was away answers the second try for a connection, a whole second after the first.
 			going = c.only(clear(c))
@@ -162,6 +166,11 @@
 	return &part
 }
 
+// journaled tells whether the log has all of the call.
+func (c *call) journaled() bool {
+	return !slices.ContainsFunc(c.attempts, func(a *attempt) bool { return !a.journaled })
+}
+
 // all gives every attempt of a call its end, those that did not go among them.
 func (c *call) all(going *call, ends []result) []result {
 	if going == c {
@@ -685,6 +694,13 @@
 	return h.open
 }
 
+// rests tells whether a connection to an address is kept.
+func (h *hosts) rests(addr string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.idle[addr]) > 0
+}
+
 // closeIdle closes the idle connections to an address.
 func (h *hosts) closeIdle(addr string) {
 	h.mu.Lock()
--- a/internal/relay/hosts_test.go
+++ b/internal/relay/hosts_test.go
@@ -41,7 +41,7 @@
 	c := &call{route: "s-1", addr: addr, sent: time.Now(), until: time.Now().Add(patience)}
 	for _, id := range ids {
 		m := &message{Message: &wal.Message{Trace: id, Key: "key-" + id, Body: []byte("body of " + id)}}
-		c.attempts = append(c.attempts, &attempt{call: c, m: m, until: c.until})
+		c.attempts = append(c.attempts, &attempt{call: c, m: m, until: c.until, journaled: true})
 	}
 	return c
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -952,20 +952,38 @@
 	return calls
 }
 
-// record writes the sends of calls and all that was noted in this step.
+// record writes the sends of calls and all that was noted in this step. A call that has to wait for a connection is written
+// once that is up: killed before, its messages have surely not run.
 func (r *Relay) record(calls []*call) error {
-	var sends []wal.Send
+	var going []*attempt
 	for _, c := range calls {
-		for _, a := range c.attempts {
+		if r.hosts.rests(c.addr) {
+			going = append(going, c.attempts...)
+		}
+	}
+	return r.journal(going)
+}
+
+// journal writes sends that are not in the log yet, and all that was noted.
+func (r *Relay) journal(going []*attempt) error {
+	var sends []wal.Send
+	for _, a := range going {
+		if !a.journaled {
 			sends = append(sends, wal.Send{
-				Message: a.m.Message, Attempt: wal.Attempt{N: a.n, Host: c.route, Zone: c.zone, At: c.sent},
+				Message: a.m.Message, Attempt: wal.Attempt{N: a.n, Host: a.route, Zone: a.zone, At: a.sent},
 			})
 		}
 	}
 	if len(sends) == 0 {
 		return r.wal.Flush()
 	}
-	return r.wal.Sent(sends...)
+	if err := r.wal.Sent(sends...); err != nil {
+		return err
+	}
+	for _, a := range going {
+		a.journaled = true
+	}
+	return nil
 }
 
 // giveBack ends calls that could not be recorded as never connected.
@@ -1020,6 +1038,10 @@
 			going = append(going, a)
 		}
 	}
+	if err := r.journal(going); err != nil {
+		r.log.Warn("log not written", "calls", 1, "err", err)
+		return nil
+	}
 	return going
 }
 
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -542,3 +542,79 @@
 	}
 	next.calls.Wait()
 }
+
+// A process that is killed while a connection is still to come up leaves its message untried, however it may be repeated; once the
+// first byte of a call can be written, the log has it.
+func TestACallIsInTheLogFromItsFirstByteOn(t *testing.T) {
+	r := newTestRelay(t)
+	defer close(r.over) // who waits for the loop's word at the end gets none
+	dir := r.cfg.StateDir
+	found := func() string {
+		copied := t.TempDir()
+		data, err := os.ReadFile(filepath.Join(dir, "wal.log"))
+		if err == nil {
+			err = os.WriteFile(filepath.Join(copied, "wal.log"), data, 0o600)
+		}
+		if err != nil {
+			t.Error(err)
+			return ""
+		}
+		l, rec, err := wal.Open(copied, 3e6)
+		if err != nil {
+			t.Error(err)
+			return ""
+		}
+		defer l.Close()
+		text := ""
+		for _, m := range rec.Messages {
+			text += fmt.Sprint(m.Trace, " ", len(m.MayRun), " ")
+		}
+		return text
+	}
+	seen := make(chan string, 2)
+	addr, _ := rawHost(t, func(n int, conn net.Conn, _ *http.Request) bool {
+		if n <= 2 { // others come after the test's end
+			seen <- found()
+		}
+		io.WriteString(conn, "HTTP/1.1 500 x\r\nContent-Length: 0\r\n\r\n")
+		return true
+	})
+	r.routes["s-1"] = target{r.routes["s-1"].Listing, addr}
+	dialing, goOn := make(chan struct{}), make(chan struct{})
+	var once sync.Once
+	r.hosts.transport.DialContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		once.Do(func() { close(dialing) })
+		<-goOn
+		return dialHost(ctx, network, addr)
+	}
+	hand := func(id string) {
+		in := &handIn{m: &wal.Message{Trace: id, Key: "k", Dest: 7, Deadline: time.Now().Add(patience)}, class: r.names.Load().classes["order"], reply: make(chan answer, 1)}
+		r.step([]any{in})
+		if a := <-in.reply; a.status != http.StatusAccepted {
+			t.Fatalf("answered %d", a.status)
+		}
+	}
+	hand("a")
+	<-dialing
+	if got := found(); got != "a 0 " {
+		t.Errorf("killed as the connection comes up: %q", got)
+	}
+	close(goOn)
+	r.next() // the clearance
+	if got := <-seen; got != "a 1 " {
+		t.Errorf("killed as the host has the call: %q", got)
+	}
+	r.next() // its end: a second try leaves on the kept connection, or waits
+	hand("b")
+	for len(seen) == 0 {
+		select {
+		case e := <-r.events:
+			r.step([]any{e})
+		case <-time.After(10 * time.Millisecond):
+			r.step(nil)
+		}
+	}
+	if got := <-seen; strings.Contains(got, "a 1 b 0") || got == "" {
+		t.Errorf("on a kept connection: %q", got)
+	}
+}
