--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -80,12 +80,12 @@
 
 func (p *pairs) class(at string) policy.Class {
 	c := policy.Class{
-		GroupAll: p.values[at+"group"] == "all",
-		Window:   p.ms(at + "repeat_window_ms"),
-		Ordered:  p.boolean(at + "by_arrival"),
-		Aim:      p.ms(at + "goal_time_ms"),
-		GiveUp:   p.ms(at + "give_up_ms"),
-		Value:    1,
+		GroupAll:    p.values[at+"group"] == "all",
+		DedupWindow: p.ms(at + "repeat_window_ms"),
+		Ordered:     p.boolean(at + "by_arrival"),
+		Aim:         p.ms(at + "goal_time_ms"),
+		GiveUp:      p.ms(at + "give_up_ms"),
+		Value:       1,
 	}
 	if _, ok := p.values[at+"value"]; ok {
 		c.Value = p.number(at + "value")
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -100,7 +100,7 @@
 		"services.0.late_worth=0.4 services.1.semantics=new_kind services.1.by_arrival=true services.1.value=4.0")
 	want := policy.Settings{
 		Classes: []policy.Class{
-			{Effect: policy.Keyed, GroupAll: true, Window: 10 * time.Second, Aim: 3 * time.Second,
+			{Effect: policy.Keyed, GroupAll: true, DedupWindow: 10 * time.Second, Aim: 3 * time.Second,
 				GiveUp: 16 * time.Second, Value: 1},
 			{Effect: policy.Unsafe, Ordered: true, Value: 4}},
 		Kinds:     []policy.Kind{{PerCall: 10}, {Separate: true, PerCall: 1}},
--- a/policy/api.go
+++ b/policy/api.go
@@ -30,14 +30,15 @@
 // Class is one class of message.
 type Class struct {
 	Effect   Effect
-	GroupAll bool          // Keyed: every route of the destination drops repeats; else those of one zone
-	Window   time.Duration // Keyed: how long repeats are dropped, from the first send that may have run
-	Ordered  bool          // messages of one key take turns
-	Aim      time.Duration // delivered within this, a message earns its full worth
-	GiveUp   time.Duration // how long a message may be delivered
-	Value    float64       // worth of a message; default 1
-	Attempts int           // for a message; 0: as the settings have it
-	Advice   time.Duration `json:",omitempty"` // least time that a refused client is told to stay away; 0: as is usual
+	GroupAll bool // Keyed: every route of the destination drops repeats; else those of one zone
+	// DedupWindow is, of keyed messages, how long repeats are dropped, from the first send that may have run. Journals have it as Window.
+	DedupWindow time.Duration `json:"Window"`
+	Ordered     bool          // messages of one key take turns
+	Aim         time.Duration // delivered within this, a message earns its full worth
+	GiveUp      time.Duration // how long a message may be delivered
+	Value       float64       // worth of a message; default 1
+	Attempts    int           // for a message; 0: as the settings have it
+	Advice      time.Duration `json:",omitempty"` // least time that a refused client is told to stay away; 0: as is usual
 }
 
 // Kind is one kind of destination.
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -22,7 +22,7 @@
 	return Settings{
 		Classes: []Class{
 			{Effect: Safe, Aim: 2 * time.Second, GiveUp: 60 * time.Second, Value: 1},
-			{Effect: Keyed, Window: 10 * time.Second, Aim: 2 * time.Second, GiveUp: 60 * time.Second, Value: 1},
+			{Effect: Keyed, DedupWindow: 10 * time.Second, Aim: 2 * time.Second, GiveUp: 60 * time.Second, Value: 1},
 			{Effect: Unsafe, Ordered: true, Aim: 2 * time.Second, GiveUp: 60 * time.Second, Value: 1},
 		},
 		Kinds:   []Kind{{PerCall: 1}, {Separate: true, PerCall: 1}, {PerCall: 3}},
@@ -836,7 +836,7 @@
 func TestTimeOutsFollowTheAnswers(t *testing.T) {
 	const usual = 60 * ms
 	set := settings()
-	set.Classes[1].Window = 3 * time.Second
+	set.Classes[1].DedupWindow = 3 * time.Second
 	for i := range set.Classes {
 		set.Classes[i].Aim, set.Classes[i].GiveUp = 4*time.Second, 12*time.Second
 	}
@@ -852,8 +852,8 @@
 		}
 		if cut := acts[0].At - d.now; cut > 2*leastExpect || cut < 10*usual {
 			t.Errorf("class %d: answers take %v, cut after %v", class, usual, cut)
-		} else if c.Effect == Keyed && cut >= c.Window {
-			t.Errorf("class %d: cut after %v, no repeat is left in %v", class, cut, c.Window)
+		} else if c.Effect == Keyed && cut >= c.DedupWindow {
+			t.Errorf("class %d: cut after %v, no repeat is left in %v", class, cut, c.DedupWindow)
 		}
 	}
 }
--- a/policy/property_test.go
+++ b/policy/property_test.go
@@ -86,8 +86,8 @@
 	return Settings{
 		Classes: []Class{
 			{Effect: Safe, Aim: 2 * time.Second, GiveUp: 8 * time.Second, Value: 1},
-			{Effect: Keyed, Window: 4 * time.Second, Aim: 2 * time.Second, GiveUp: 9 * time.Second, Value: 2},
-			{Effect: Keyed, GroupAll: true, Window: 5 * time.Second, Aim: time.Second, GiveUp: 6 * time.Second},
+			{Effect: Keyed, DedupWindow: 4 * time.Second, Aim: 2 * time.Second, GiveUp: 9 * time.Second, Value: 2},
+			{Effect: Keyed, GroupAll: true, DedupWindow: 5 * time.Second, Aim: time.Second, GiveUp: 6 * time.Second},
 			{Effect: Unsafe, Ordered: true, Aim: 2 * time.Second, GiveUp: 10 * time.Second, Value: 4},
 			{Effect: Safe, Ordered: true, Aim: time.Second, GiveUp: 5 * time.Second, Value: 1},
 		},
@@ -116,7 +116,7 @@
 	}
 	for range 1 + rng.IntN(6) {
 		c := Class{Effect: []Effect{Safe, Keyed, Unsafe}[rng.IntN(3)], GroupAll: rng.IntN(2) == 0, Ordered: rng.IntN(4) == 0,
-			Window: time.Second + span(0, 9*time.Second), GiveUp: span(300*time.Millisecond, time.Minute), Value: 4 * rng.Float64()}
+			DedupWindow: time.Second + span(0, 9*time.Second), GiveUp: span(300*time.Millisecond, time.Minute), Value: 4 * rng.Float64()}
 		c.Aim = max(100*time.Millisecond, time.Duration(rng.Float64()*float64(c.GiveUp)))
 		set.Classes = append(set.Classes, c)
 	}
@@ -297,7 +297,7 @@
 		switch {
 		case m.class.Effect == Unsafe:
 			w.fail(2, "unsafe message %d sent again", m.id)
-		case m.class.Effect == Keyed && w.now >= first.sent+m.class.Window:
+		case m.class.Effect == Keyed && w.now >= first.sent+m.class.DedupWindow:
 			w.fail(2, "keyed message %d sent after its window", m.id)
 		case m.class.Effect == Keyed && !m.class.GroupAll && w.listed[first.route].Zone != l.Zone:
 			w.fail(2, "keyed message %d sent outside its group", m.id)
@@ -466,7 +466,7 @@
 		{name: "deadline", rule: 1, event: func(e *Event) { e.Left += time.Second }},
 		{name: "unsafe", rule: 2, settings: func(s *Settings) { s.Classes[3].Effect = Safe }},
 		{name: "group", rule: 2, settings: func(s *Settings) { s.Classes[1].GroupAll = true }},
-		{name: "window", rule: 2, settings: func(s *Settings) { s.Classes[1].Window = time.Hour }},
+		{name: "window", rule: 2, settings: func(s *Settings) { s.Classes[1].DedupWindow = time.Hour }},
 		{name: "drain", rule: 3, event: func(e *Event) {
 			if e.Kind == ListChanges {
 				e.List = nil
--- a/policy/resume_test.go
+++ b/policy/resume_test.go
@@ -9,7 +9,7 @@
 func resumeSettings() Settings {
 	return Settings{
 		Classes: []Class{{
-			Effect: Keyed, Window: 10 * time.Second, Aim: 3 * time.Second, GiveUp: 16 * time.Second, Value: 1,
+			Effect: Keyed, DedupWindow: 10 * time.Second, Aim: 3 * time.Second, GiveUp: 16 * time.Second, Value: 1,
 		}},
 		Kinds: []Kind{{Separate: true, PerCall: 1}}, MaxAttempts: 8, MaxRetryAfter: 3 * time.Second,
 	}
@@ -271,7 +271,7 @@
 		"may be repeated": {Safe, Resumed{Attempts: 1, Ran: true, RanAgo: 400 * ms}, 0},
 	} {
 		set := resumeSettings()
-		set.Classes[0].Effect, set.Classes[0].Window = c.effect, time.Second
+		set.Classes[0].Effect, set.Classes[0].DedupWindow = c.effect, time.Second
 		s, err := New(set, 1)
 		if err != nil {
 			t.Fatal(err)
--- a/policy/settings_test.go
+++ b/policy/settings_test.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"encoding/json"
 	"testing"
 	"time"
 )
@@ -58,3 +59,11 @@
 		t.Error("a share was forgotten, or came to another")
 	}
 }
+
+// Journals of builds before have a class's deduplication window under its older name.
+func TestAJournalsClassKeepsItsDedupWindow(t *testing.T) {
+	var c Class
+	if err := json.Unmarshal([]byte(`{"Effect":1,"Window":1000000000,"Aim":5}`), &c); err != nil || c.DedupWindow != time.Second || c.Effect != Keyed {
+		t.Errorf("%+v, %v", c, err)
+	}
+}
--- a/policy/snapshot_test.go
+++ b/policy/snapshot_test.go
@@ -37,7 +37,7 @@
 	sec := time.Second
 	return Settings{
 		Classes: []Class{
-			{Effect: Keyed, Window: 4 * sec, Aim: 2 * sec, GiveUp: 8 * sec, Value: 1},
+			{Effect: Keyed, DedupWindow: 4 * sec, Aim: 2 * sec, GiveUp: 8 * sec, Value: 1},
 			{Effect: Unsafe, Aim: 2 * sec, GiveUp: 8 * sec, Value: 2, Ordered: true},
 		},
 		Kinds:     []Kind{{Separate: true, PerCall: 4}, {PerCall: 1}},
--- a/policy/spent.go
+++ b/policy/spent.go
@@ -17,7 +17,7 @@
 }
 
 // windowEnd is when the last repeat of a keyed message that may have run must be sent.
-func (m *message) windowEnd() time.Duration { return m.ranAt + m.class.Window - endMargin }
+func (m *message) windowEnd() time.Duration { return m.ranAt + m.class.DedupWindow - endMargin }
 
 // spent tells whether mayAttempt can never again allow a send of m, whatever becomes of the routes.
 func (s *Sender) spent(m *message) bool {
--- a/policy/state.go
+++ b/policy/state.go
@@ -614,7 +614,7 @@
 	least := min(set.MaxRetryAfter, set.WarmWithin, set.OverloadWindow, set.OrderPause, set.SkipFirst, set.SkipMost)
 	sum := set.ColdShare + set.OverloadFactor
 	for _, c := range set.Classes {
-		least = min(least, c.Window, c.Aim, c.GiveUp, c.Advice)
+		least = min(least, c.DedupWindow, c.Aim, c.GiveUp, c.Advice)
 		sum += c.Value
 	}
 	for _, c := range set.Customers {
