--- a/internal/relay/discovery.go
+++ b/internal/relay/discovery.go
@@ -53,7 +53,6 @@
 	bound, answer := w.clock.first, w.clock.answer
 	if w.before > 0 { // it has a list, and all that started or moved together would ask together
 		sleep(ctx, w.upTo(w.before))
-		bound = w.clock.second() // no watch fell silent: there is time
 	}
 	for ctx.Err() == nil {
 		began := time.Now()
@@ -70,6 +69,9 @@
 			answer = min(w.clock.answerMost, 2*answer)
 		}
 		pause := w.upTo(bound)
+		if w.clock.apart && !end.held {
+			pause = bound/2 + pause/2
+		}
 		w.ended(version, err, pause)
 		sleep(ctx, pause)
 		bound = min(w.clock.most, 2*bound)
--- a/internal/relay/listclock.go
+++ b/internal/relay/listclock.go
@@ -40,6 +40,7 @@
 	most       time.Duration // and after many that failed
 	answer     time.Duration // that a call may take to its answer's head
 	answerMost time.Duration // and after many that did not get one
+	apart      bool          // calls cost discovery work: after one that failed, half of the pause at least
 }
 
 // clockOf is the clock under some settings. An agent on the relay's own machine answers at no cost, and a list from
@@ -52,31 +53,29 @@
 			answer: 400 * time.Millisecond, answerMost: 2 * time.Second}
 	}
 	spread := time.Duration(set.Senders) * askSpan
-	return listClock{silence: watchSilence, start: min(spread, 3*time.Second), first: min(spread, 500*time.Millisecond),
-		most: min(4*spread, 2*time.Second), answer: 800 * time.Millisecond, answerMost: 800 * time.Millisecond}
+	return listClock{silence: watchSilence, start: min(spread, 4500*time.Millisecond), first: min(spread, 2500*time.Millisecond),
+		most: min(2*spread, 4*time.Second), answer: 800 * time.Millisecond, answerMost: 800 * time.Millisecond, apart: true}
 }
 
 // second is the longest pause after the first call that failed behind a watch that held.
 func (c listClock) second() time.Duration { return min(c.most, 2*c.first) }
 
 // worst is the longest that a change may take from the moment when discovery had it and could be reached to its being acted
-// on, where one call on the way is given up at its last moment: the watch fell silent just before the change, or discovery was
-// away and the first call hangs, or the process has just started. Where lists are pushed, the second watch may also fall silent
-// right behind its head.
+// on: the watch fell silent just before the change, or discovery was away and the first call hangs, or the process has just
+// started. Where lists are pushed one more call on the way may be given up at its last moment, or be refused, or a second watch
+// may fall silent right behind its head. Where they are asked for there is no room for that: calls in so short a time are so
+// many that discovery refuses them, and a fleet learns later than by waiting.
 func (c listClock) worst() time.Duration {
-	silent := c.silence + c.first + c.answer + c.second() + min(c.answerMost, 2*c.answer)
-	if c.start == 0 {
-		silent = max(silent, c.silence+c.first+c.answer+c.silence+c.second()+c.answer)
+	silent, away, started := c.silence+c.first+c.answer, c.answerMost+c.most+c.answerMost, c.start+c.answer
+	if !c.apart {
+		silent = max(silent+c.second()+min(c.answerMost, 2*c.answer), silent+c.silence+c.second()+c.answer)
+		away, started = away+c.most, started+c.second()+min(c.answerMost, 2*c.answer)
 	}
-	away := c.answerMost + c.most + c.most + c.answerMost // and one more is refused at once
-	started := c.start + c.answer + c.second() + min(c.answerMost, 2*c.answer)
 	return max(silent, away, started) + actWithin
 }
 
-// moved is the longest that a change may take after discovery moved, with one call that is given up.
-func (c listClock) moved() time.Duration {
-	return c.first + c.answer + c.second() + min(c.answerMost, 2*c.answer) + actWithin
-}
+// moved is the longest that a change may take after discovery moved.
+func (c listClock) moved() time.Duration { return c.first + c.answer + actWithin }
 
 // listReader reads the lists of a watch: JSON objects that may be indented over many lines, with empty lines between them.
 type listReader struct {
