--- a/internal/config/numbers.go
+++ b/internal/config/numbers.go
@@ -3,14 +3,52 @@
 import (
 	"bytes"
 	"math/big"
+	"strconv"
+	"strings"
 )
 
-// maxExponent bounds the exponents that are written out, so that a short text can't ask for a huge number.
-const maxExponent = 30
+const (
+	// longestNumber is the largest number of characters of a number.
+	longestNumber = 64
+	// largestExponent bounds the exponents of numbers, so that a short text can't ask for a huge number.
+	largestExponent = 308
+)
+
+// checkNumbers refuses numbers that take long to work with. The text has to be JSON.
+func checkNumbers(text []byte) error {
+	for position := 0; position < len(text); {
+		switch character := text[position]; {
+		case character == '"':
+			position = endOfString(text, position)
+		case startsNumber(character):
+			end := endOfNumber(text, position)
+			if number := string(text[position:end]); !isHandy(number) {
+				return invalid("", number, "this number is out of range")
+			}
+			position = end
+		default:
+			position++
+		}
+	}
+	return nil
+}
+
+// isHandy tells whether a number is within the bounds.
+func isHandy(number string) bool {
+	if len(number) > longestNumber {
+		return false
+	}
+	at := strings.IndexAny(number, "eE")
+	if at < 0 {
+		return true
+	}
+	exponent, err := strconv.Atoi(number[at+1:])
+	return err == nil && exponent >= -largestExponent && exponent <= largestExponent
+}
 
 // writeNumbersPlainly returns JSON text in which each whole number is written in digits alone: 8000 for 8000.0 and 8e3. Everything
 // else stays byte for byte. The text has to be JSON.
-func writeNumbersPlainly(text []byte) ([]byte, error) {
+func writeNumbersPlainly(text []byte) []byte {
 	var out bytes.Buffer
 	out.Grow(len(text))
 	for position := 0; position < len(text); {
@@ -28,7 +66,7 @@
 		}
 		position = end
 	}
-	return out.Bytes(), nil
+	return out.Bytes()
 }
 
 func startsNumber(character byte) bool {
@@ -38,7 +76,7 @@
 // endOfNumber returns the position after the number that begins at start.
 func endOfNumber(text []byte, start int) int {
 	for position := start; position < len(text); position++ {
-		if !bytes.ContainsRune([]byte("+-.eE0123456789"), rune(text[position])) {
+		if strings.IndexByte("+-.eE0123456789", text[position]) < 0 {
 			return position
 		}
 	}
@@ -47,7 +85,7 @@
 
 // plainNumber writes a whole number in digits, and leaves any other as it is.
 func plainNumber(number string) string {
-	if exponentTooLarge(number) {
+	if !isHandy(number) {
 		return number
 	}
 	value, ok := new(big.Rat).SetString(number)
@@ -56,12 +94,3 @@
 	}
 	return value.Num().String()
 }
-
-func exponentTooLarge(number string) bool {
-	value, _, err := big.ParseFloat(number, 10, 53, big.ToNearestEven)
-	if err != nil {
-		return true
-	}
-	exponent := value.MantExp(nil)
-	return exponent > 4*maxExponent || exponent < -4*maxExponent
-}
--- a/internal/config/parse.go
+++ b/internal/config/parse.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"unicode/utf8"
 )
 
 // Parse reads a whole document as an operator sent it and checks its form against the schema. Fields that the schema doesn't know
@@ -17,9 +16,6 @@
 
 // parseAfter is Parse where the form of some items is known to be right. It also returns the forms of the document.
 func parseAfter(body []byte, known *forms) (*Document, *forms, error) {
-	if !utf8.Valid(body) {
-		return nil, nil, invalid("", "", "not UTF-8")
-	}
 	all, unknown, err := splitForms(body, known)
 	if err != nil {
 		return nil, nil, err
@@ -36,6 +32,9 @@
 
 // checkText checks the text of a document against the schema.
 func checkText(text []byte) error {
+	if err := checkNumbers(text); err != nil {
+		return err
+	}
 	value, err := decode(text)
 	if err != nil {
 		return err
@@ -66,11 +65,7 @@
 
 // unmarshalWithFractions takes whole numbers also where they are written with a fraction or an exponent, such as 8000.0.
 func unmarshalWithFractions(body []byte) (*Document, error) {
-	plain, err := writeNumbersPlainly(body)
-	if err != nil {
-		return nil, err
-	}
-	return unmarshalDocument(plain)
+	return unmarshalDocument(writeNumbersPlainly(body))
 }
 
 // decode reads JSON text for the schema.
--- a/internal/config/patch_test.go
+++ b/internal/config/patch_test.go
@@ -56,6 +56,7 @@
 		`{"generation":2,"upsert":{"routes":[{"name":""}]}}`, `{"generation":2,"upsert":{"routes":[{"name":7}]}}`,
 		`{"generation":2,"upsert":{"routes":[{"name":"a"},{"name":"a"}]}}`,
 		`{"generation":2,"delete":{"routes":"a"}}`, `{"generation":2,"delete":{"routes":[7]}}`,
+		`{"generation":2,"upsert":{"later":"` + "\xff" + `"}}`,
 		`{"generation":2,"upsert":{"generation":9}}`, `{"generation":2,"delete":{"generation":["a"]}}`,
 	} {
 		_, err := config.ApplyPatch([]byte(patchBase), []byte(change))
--- a/internal/config/scan.go
+++ b/internal/config/scan.go
@@ -1,12 +1,18 @@
 package config
 
-import "encoding/json"
+import (
+	"encoding/json"
+	"unicode/utf8"
+)
 
 // The functions of this file take JSON text apart without reading its values. The text has to be valid, which checkSyntax makes sure
 // of once for the whole of it.
 
-// checkSyntax checks that text is exactly one JSON value.
+// checkSyntax checks that text is exactly one JSON value in UTF-8.
 func checkSyntax(text []byte) error {
+	if !utf8.Valid(text) {
+		return invalid("", "", "not UTF-8")
+	}
 	if json.Valid(text) {
 		return nil
 	}
