--- a/internal/swim/node.go
+++ b/internal/swim/node.go
@@ -8,7 +8,8 @@
 	"wallflow/internal/swim/swimpb"
 )
 
-// Node is the membership of one process. It is not safe for concurrent use.
+// Node is the membership of one process. It is not safe for concurrent use. The times that it is given should come from
+// time.Now, so that steps of the wall clock do not matter after the start.
 type Node struct {
 	timing timing
 	random *rand.Rand
@@ -26,6 +27,7 @@
 	probes   []*probe
 	errands  []*errand
 	urgent   []check
+	suspects []*peer // those that were suspect after the last Tick, and newer ones
 
 	rumors       rumorQueue
 	nextGossip   time.Time
@@ -106,9 +108,9 @@
 	n.health = min(n.health+1, maxHealth)
 	n.probes = n.probes[:0]
 	n.errands = n.errands[:0]
-	for _, live := range n.table.ring {
-		if live.suspicion != nil {
-			live.suspicion.started = live.suspicion.started.Add(gap)
+	for _, suspect := range n.suspects {
+		if suspect.suspicion != nil {
+			suspect.suspicion.started = suspect.suspicion.started.Add(gap)
 		}
 	}
 }
--- a/internal/swim/output.go
+++ b/internal/swim/output.go
@@ -14,7 +14,7 @@
 	Datagrams []Send
 	// Messages go over a connection: they hold all members.
 	Messages []Send
-	// Changed are the members whose status, address or meta changed, this process included.
+	// Changed are the members whose status, address, meta or incarnation changed, this process included.
 	Changed []Member
 }
 
@@ -46,7 +46,7 @@
 	message.Incarnation = n.self.Incarnation
 }
 
-// changed notes a member whose status, address or meta changed.
+// changed notes a member that is not what it was.
 func (n *Node) changed(changed *peer) {
 	n.table.members = nil
 	n.output.Changed = append(n.output.Changed, changed.Member)
--- /dev/null
+++ b/internal/swim/rumors_test.go
@@ -0,0 +1,80 @@
+package swim
+
+import (
+	"strings"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"wallflow/internal/swim/swimpb"
+)
+
+func rumorAbout(name string, incarnation uint64) *swimpb.State {
+	return &swimpb.State{Name: name, Address: "10.0.0.1:7000", Incarnation: incarnation}
+}
+
+func namesOf(states []*swimpb.State) string {
+	var names []string
+	for _, state := range states {
+		names = append(names, state.Name)
+	}
+	return strings.Join(names, " ")
+}
+
+func TestRumorsToldLeastGoFirst(t *testing.T) {
+	queue := newRumorQueue()
+	queue.add(rumorAbout("a", 1), 0)
+	assert.Equal(t, namesOf(queue.pick(rumorBytes, 8)), "a")
+	queue.add(rumorAbout("b", 1), 0)
+	assert.Equal(t, namesOf(queue.pick(rumorBytes, 8)), "b a")
+	queue.add(rumorAbout("c", 1), 0)
+	one := proto.Size(rumorAbout("c", 1)) + stateOverhead
+	assert.Equal(t, namesOf(queue.pick(one, 8)), "c")
+}
+
+func TestRumorIsReplaced(t *testing.T) {
+	queue := newRumorQueue()
+	queue.add(rumorAbout("a", 1), 0)
+	queue.add(rumorAbout("a", 2), 0)
+	picked := queue.pick(rumorBytes, 8)
+	assert.Equal(t, len(picked), 1)
+	assert.Equal(t, picked[0].Incarnation, uint64(2))
+}
+
+func TestRumorHeardAgainIsToldLess(t *testing.T) {
+	queue := newRumorQueue()
+	queue.add(rumorAbout("a", 1), 0)
+	same := report{Member: Member{Name: "a", Incarnation: 1}}
+	older := report{Member: Member{Name: "a"}}
+	queue.heardAgain(older)
+	queue.heardAgain(same)
+	assert.Equal(t, len(queue.pick(rumorBytes, 2)), 1)
+	assert.Equal(t, len(queue.pick(rumorBytes, 2)), 0)
+	assert.Assert(t, queue.empty())
+}
+
+func TestRumorsStayWithinTheirBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		queue := newRumorQueue()
+		limit := rapid.IntRange(1, 6).Draw(t, "limit")
+		told := map[string]int{}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			if rapid.Bool().Draw(t, "add") {
+				name := rapid.StringMatching(`[a-f]{1,300}`).Draw(t, "name")
+				queue.add(rumorAbout(name, 1), 0)
+				told[name] = 0
+				continue
+			}
+			room := rapid.IntRange(0, rumorBytes).Draw(t, "room")
+			size := 0
+			for _, state := range queue.pick(room, limit) {
+				size += proto.Size(state) + stateOverhead
+				told[state.Name]++
+				assert.Assert(t, told[state.Name] <= limit)
+			}
+			assert.Assert(t, size <= room)
+		}
+	})
+}
--- a/internal/swim/suspicion.go
+++ b/internal/swim/suspicion.go
@@ -57,13 +57,16 @@
 	accused.Status = Suspect
 	accused.since = now
 	accused.suspicion = &suspicion{started: now, least: least, longest: longest, accusers: []string{accuser}}
+	if !slices.Contains(n.suspects, accused) {
+		n.suspects = append(n.suspects, accused)
+	}
 	n.changed(accused)
 	n.tell(accused, accuser)
 	n.lookAround(accused)
 }
 
-// lookAround probes two members near one that is in trouble, if that is in another zone: a whole zone or region may be gone,
-// where nobody is left to notice. The more members there are, the fewer of them do so.
+// lookAround probes a member near one that is in trouble and one from anywhere, if that is in another zone: a whole zone or
+// region may be gone, where nobody is left to notice, or the own one may be cut off from all others. The more members there are, the fewer of them do so.
 func (n *Node) lookAround(troubled *peer) {
 	if troubled.Meta.Zone == n.self.Meta.Zone && troubled.Meta.Region == n.self.Meta.Region {
 		return
@@ -77,7 +80,7 @@
 		return
 	}
 	first := n.pick(around, []*peer{troubled})
-	second := n.pick(around, []*peer{troubled, first})
+	second := n.pick(n.everywhere(), []*peer{troubled, first})
 	for _, target := range []*peer{first, second} {
 		if target != nil {
 			n.checkSoon(check{target: target})
@@ -94,13 +97,11 @@
 
 // settleSuspicions declares the suspects dead that did not refute in time.
 func (n *Node) settleSuspicions(now time.Time) {
-	var expired []*peer
-	for _, live := range n.table.ring {
-		if live.suspicion != nil && !now.Before(live.suspicion.deadline()) {
-			expired = append(expired, live)
+	n.suspects = slices.DeleteFunc(n.suspects, func(former *peer) bool { return former.suspicion == nil })
+	for _, silent := range slices.Clone(n.suspects) {
+		if now.Before(silent.suspicion.deadline()) {
+			continue
 		}
-	}
-	for _, silent := range expired {
 		if silent.heard.After(silent.suspicion.started) {
 			silent.suspicion.started = now // it was heard since: it gets the time again
 			continue
--- a/internal/transport/bind.go
+++ b/internal/transport/bind.go
@@ -36,6 +36,7 @@
 // bindStream listens for connections. Keep-alive probes are off: an accepted connection has a read deadline instead.
 func bindStream(address string) (*net.TCPListener, error) {
 	config := net.ListenConfig{Control: setReuseAddress, KeepAlive: noKeepAlive}
+	config.SetMultipathTCP(false)
 	listener, err := config.Listen(context.Background(), "tcp4", address)
 	if err != nil {
 		return nil, err
--- a/internal/transport/connection.go
+++ b/internal/transport/connection.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync/atomic"
 	"syscall"
@@ -35,7 +36,7 @@
 		opened.abort()
 		return nil, err
 	}
-	if !m.spawn(opened.watch) {
+	if !m.spawn(func() { m.watch(opened) }) {
 		opened.abort()
 		return nil, context.Canceled
 	}
@@ -55,13 +56,16 @@
 	return failed
 }
 
-// watch waits for the peer's end of the connection, and marks it broken at once: a peer that restarts is noticed before
-// the next message is written.
-func (c *connection) watch() {
+// watch waits for the peer's end of a connection, and marks it broken at once: a peer that restarts is noticed before the
+// next message is written.
+func (m *Mesh) watch(watched *connection) {
 	var unexpected [1]byte
-	_, _ = c.socket.Read(unexpected[:])
-	c.broken.Store(true)
-	c.abort()
+	_, err := watched.socket.Read(unexpected[:])
+	watched.broken.Store(true)
+	watched.abort()
+	if !errors.Is(err, net.ErrClosed) {
+		m.meters.peerClosed.Add(1)
+	}
 }
 
 // write writes all bytes in chunks, each within the time-out: a slow peer that reads on is not cut off.
--- a/internal/transport/counters.go
+++ b/internal/transport/counters.go
@@ -24,6 +24,8 @@
 	Malformed uint64
 	// Dials counts connections made, DialFailures the attempts that failed.
 	Dials, DialFailures uint64
+	// PeerClosed counts outgoing connections that ended without this process closing them.
+	PeerClosed uint64
 	// Accepted counts incoming connections, Refused those beyond the bound.
 	Accepted, Refused uint64
 }
@@ -38,6 +40,7 @@
 	droppedDatagrams, malformed      atomic.Uint64
 	dials, dialFailures              atomic.Uint64
 	accepted, refused                atomic.Uint64
+	peerClosed                       atomic.Uint64
 }
 
 // snapshot copies the live counters.
@@ -51,5 +54,6 @@
 		DroppedDatagrams: m.droppedDatagrams.Load(), Malformed: m.malformed.Load(),
 		Dials: m.dials.Load(), DialFailures: m.dialFailures.Load(),
 		Accepted: m.accepted.Load(), Refused: m.refused.Load(),
+		PeerClosed: m.peerClosed.Load(),
 	}
 }
