--- a/internal/registry/merge_test.go
+++ b/internal/registry/merge_test.go
@@ -155,6 +155,29 @@
 	assert.Equal(t, stateOf(t, two, "i"), StateReady)
 }
 
+func TestDigestBringsAnExpiredInstanceBack(t *testing.T) {
+	one, two := pair(at(0))
+	pass(at(0), one, two, one.Replicate(at(0), one.Heartbeat(at(0), beatOf("i", 1))).Message)
+	tickUntil(two, 0, 13_000)
+	assert.Equal(t, stateOf(t, two, "i"), StateGone)
+	one.Heartbeat(at(13_000), beatOf("i", 2))
+	changed, _ := two.Merge(at(13_000), one.Tick(at(13_000)).Broadcast)
+	assert.Equal(t, len(changed), 1)
+	assert.Equal(t, stateOf(t, two, "i"), StateReady)
+	checkBuckets(t, two)
+	assert.Equal(t, one.hash(), two.hash())
+}
+
+func TestRepeatedMessageChangesNothing(t *testing.T) {
+	one, two := pair(at(0))
+	message := one.Replicate(at(0), one.Heartbeat(at(0), beatOf("i", 1).draining())).Message
+	changed, _ := two.Merge(at(0), message)
+	assert.Equal(t, len(changed), 1)
+	changed, reply := two.Merge(at(0), message)
+	assert.Equal(t, len(changed), 0)
+	assert.Equal(t, reply.GetAcknowledgement().GetDelta(), message.GetDelta(), "it is acknowledged again all the same")
+}
+
 func TestDigestShowsAMissingInstance(t *testing.T) {
 	one, two := pair(at(0))
 	one.Heartbeat(at(0), beatOf("i", 1)) // the message that told of it was lost
--- a/internal/registry/table_test.go
+++ b/internal/registry/table_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"wallflow/internal/distribution/feedpb"
 )
 
 const testInterval = 1200 * time.Millisecond
@@ -209,18 +211,73 @@
 	assert.Equal(t, stateOf(t, table, "two"), StateGone)
 }
 
+// sharedFingerprint returns two ids with the same fingerprint.
+func sharedFingerprint(t *testing.T) (one, two string) {
+	t.Helper()
+	const enough = 1_000_000
+	seen := make(map[uint32]string)
+	for index := range enough {
+		id := fmt.Sprintf("i-%08x", index)
+		if other, exists := seen[fingerprintOf(id)]; exists {
+			return other, id
+		}
+		seen[fingerprintOf(id)] = id
+	}
+	t.Fatal("there is no such pair")
+	return "", ""
+}
+
 func TestInstancesThatShareAFingerprintAreKeptApart(t *testing.T) {
+	one, two := sharedFingerprint(t)
 	table := newTestTable("c1", "hall-a", at(0))
-	table.Heartbeat(at(0), beatOf("one", 1).on("a:1"))
-	table.Heartbeat(at(0), beatOf("two", 1).on("a:2"))
-	one, two := table.records["one"], table.records["two"]
-	one.nextFingerprint = two // as though both had the fingerprint of one
-	changed := table.mergeBeat(at(1000), one, "c2", at(900), 50, nil)
+	table.Heartbeat(at(0), beatOf(one, 1).on("a:1"))
+	table.Heartbeat(at(0), beatOf(two, 1).on("a:2"))
+	digest := &feedpb.RegistryDigest{Fingerprints: []uint32{fingerprintOf(one)}, Seqs: []uint64{50}, AgesMs: []uint32{100}}
+	changed, reply := table.Merge(at(1000), &feedpb.RegistryMessage{Source: "c2", Digest: digest})
 	assert.Equal(t, len(changed), 0)
-	assert.Equal(t, one.heardAt, at(900))
-	assert.Equal(t, two.heardAt, at(900))
-	assert.Equal(t, one.Seq, uint64(1))
-	one.nextFingerprint = nil
+	assert.Equal(t, len(reply.GetUnknown()), 0)
+	for _, id := range []string{one, two} {
+		assert.Equal(t, table.records[id].heardAt, at(900))
+		assert.Equal(t, table.records[id].Seq, uint64(1))
+	}
+}
+
+func TestForgettingKeepsOthersOfTheSameFingerprint(t *testing.T) {
+	one, two := sharedFingerprint(t)
+	for _, order := range [][]string{{one, two}, {two, one}} {
+		table := newTestTable("c1", "hall-a", at(0))
+		table.Heartbeat(at(0), beatOf(one, 1).on("a:1"))
+		table.Heartbeat(at(0), beatOf(two, 1).on("a:2"))
+		table.forget(table.records[order[0]])
+		assert.Equal(t, table.fingerprints[fingerprintOf(one)].ID, order[1])
+		assert.Assert(t, table.fingerprints[fingerprintOf(one)].nextFingerprint == nil)
+		table.forget(table.records[order[1]])
+		assert.Equal(t, len(table.fingerprints), 0)
+		assert.Equal(t, len(table.holders), 0)
+	}
+}
+
+func TestInstanceMayMoveToAnotherAddress(t *testing.T) {
+	table := newTestTable("c1", "hall-a", at(0))
+	table.Heartbeat(at(0), beatOf("i", 1).on("a:1"))
+	assert.Assert(t, table.Heartbeat(at(100), beatOf("i", 2).on("a:2")).Changed)
+	assert.Equal(t, len(table.holders), 1)
+	assert.Equal(t, table.holders["a:2"].ID, "i")
+}
+
+func TestWireKeepsAllAndMakesTimesRelative(t *testing.T) {
+	for _, state := range []State{StateReady, StateDraining, StateSilent, StateGone} {
+		instance := Instance{
+			ID: "i", Backend: "quiz", Address: "a:1", Zone: "hall-a", Generation: "v1", Slots: 64, State: state, Reported: StateReady,
+			Seq: 9, ChangedSeq: 7, ColdUntil: at(1500), GoneAt: at(4000), Phase: "dual", Models: []string{"m"},
+		}
+		read := FromWire(at(10_000), ToWire(at(1000), instance))
+		instance.ColdUntil, instance.GoneAt = at(10_500), at(13_000)
+		assert.DeepEqual(t, read, instance)
+	}
+	warm := FromWire(at(10_000), ToWire(at(1000), Instance{ID: "i", ColdUntil: at(900)}))
+	assert.Assert(t, warm.ColdUntil.IsZero())
+	assert.Assert(t, warm.GoneAt.IsZero())
 }
 
 func ExampleTable_Heartbeat() {
