Give each large opening one home region, so that the fleet reads it once

Change: the region is drawn by rendezvous hashing over the allowed regions, each weighted by its warm endpoints; inside it the ranking stands, now with the full credit for the first. A body that is larger than its opening is worth stays in its region. The cold limiter's Forget and its assertion went: it let the count be dropped too early.

--- a/internal/budget/cold.go
+++ b/internal/budget/cold.go
@@ -8,6 +8,7 @@
 	coldMargin = 20 * time.Millisecond
 	// coldOwners is how many relays may believe for a moment that they own an endpoint.
 	coldOwners = 2
+	sweepLeast = 16
 )
 
 // ColdBound is how many requests a cold endpoint bears.
@@ -26,7 +27,8 @@
 
 // ColdLimiter counts the requests that this relay sends to cold endpoints. The zero value is not ready: use NewColdLimiter.
 type ColdLimiter struct {
-	sends map[string]*recent
+	sends   map[string]*recent
+	sweepAt int // number of endpoints at which those without a send of late are dropped
 }
 
 // recent holds the times of the last sends to one endpoint, in a ring.
@@ -45,6 +47,7 @@
 	if most < 1 || l.NextAt(now, instanceID, most).After(now) {
 		return false
 	}
+	l.sweep(now)
 	ring := l.sends[instanceID]
 	if ring == nil || len(ring.times) != most {
 		ring = resized(ring, most)
@@ -71,9 +74,18 @@
 	return now
 }
 
-// Forget drops what is counted for an instance that is gone or warm.
-func (l *ColdLimiter) Forget(instanceID string) {
-	delete(l.sends, instanceID)
+// sweep drops the endpoints that got nothing within the window. They may be warm or gone, or cold again within it, so that nothing
+// is dropped sooner.
+func (l *ColdLimiter) sweep(now time.Time) {
+	if len(l.sends) < l.sweepAt {
+		return
+	}
+	for id, ring := range l.sends {
+		if now.Sub(ring.last(1)) > coldWindow+coldMargin {
+			delete(l.sends, id)
+		}
+	}
+	l.sweepAt = 2*len(l.sends) + sweepLeast
 }
 
 // last is the time of the send that lies so many sends back, the zero time if there were fewer.
--- a/internal/budget/cold_test.go
+++ b/internal/budget/cold_test.go
@@ -1,6 +1,7 @@
 package budget
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -50,8 +51,16 @@
 	assert.Assert(t, l.Take(free, "i-1", 2))
 	assert.Assert(t, !l.Take(free, "i-1", 2))
 	assert.Assert(t, l.Take(soon, "i-2", 2), "each endpoint has a limit of its own")
-	l.Forget("i-1")
-	assert.Assert(t, l.Take(free, "i-1", 2))
+}
+
+func TestColdLimiterStaysSmall(t *testing.T) {
+	l := NewColdLimiter()
+	now := start
+	for index := range 10_000 {
+		now = now.Add(50 * time.Millisecond)
+		l.Take(now, fmt.Sprintf("i-%d", index), 5)
+	}
+	assert.Assert(t, len(l.sends) <= 128, "%d", len(l.sends))
 }
 
 // TestColdLimitInEverySecond plays any series of sends, also over a change of the limit.
--- /dev/null
+++ b/internal/selector/bench_test.go
@@ -0,0 +1,43 @@
+package selector
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// BenchmarkChoose takes and answers requests with tiers of different sizes: the cost must not grow with them.
+func BenchmarkChoose(b *testing.B) {
+	for _, size := range []int{8, 32, 1000, 12_000} {
+		for _, kind := range []string{"query", "dossier"} {
+			b.Run(fmt.Sprintf("%s/%d", kind, size), func(b *testing.B) {
+				f := newFleet(b)
+				f.engines(homeZone, size)
+				b.ReportAllocs()
+				b.ResetTimer()
+				for index := range b.N {
+					f.after(3 * time.Millisecond)
+					var r *Request
+					if kind == "query" {
+						r = f.request("query")
+					} else {
+						r = f.dossier(uint64(index % 100))
+					}
+					d := f.choose(r)
+					f.s.FirstByte(f.now, d.Attempt)
+					f.done(d, Success)
+				}
+			})
+		}
+	}
+}
+
+// BenchmarkSetInstances takes on a whole list in which nothing has changed.
+func BenchmarkSetInstances(b *testing.B) {
+	f := newFleet(b)
+	f.engines(homeZone, 12_000)
+	b.ResetTimer()
+	for range b.N {
+		f.tell()
+	}
+}
--- a/internal/selector/candidates.go
+++ b/internal/selector/candidates.go
@@ -165,6 +165,9 @@
 	if until := request.avoids(endpoint); until.After(now) {
 		return until
 	}
+	if endpoint.skip.until.After(now) {
+		return endpoint.skip.until // it entered the table while its tier was looked through
+	}
 	if endpoint.skip.down && endpoint.trial != nil {
 		return s.onTrial(now, endpoint)
 	}
--- a/internal/selector/choose.go
+++ b/internal/selector/choose.go
@@ -95,7 +95,7 @@
 	var best choice
 	compared := 0
 	aim := inTime * inMs(request.aimLeft(now))
-	for _, tier := range request.plan.orders[request.drawn] {
+	for _, tier := range s.tiersFor(request) {
 		if !tier.usable() && len(tier.lists[placeSkipped])+len(tier.lists[placeForeign]) == 0 {
 			continue
 		}
--- a/internal/selector/endpoint.go
+++ b/internal/selector/endpoint.go
@@ -70,10 +70,6 @@
 		s.recheck(endpoint, endpoint.skip.until)
 	case placeOwned, placeForeign:
 		s.recheck(endpoint, endpoint.warmEnd())
-	case placeWarm:
-		if s.cold != nil {
-			s.cold.Forget(endpoint.instance.ID)
-		}
 	}
 }
 
--- a/internal/selector/estimate.go
+++ b/internal/selector/estimate.go
@@ -24,7 +24,7 @@
 
 // preference is the part of the reading saved that the first endpoints of a prompt's ranking are credited with, though this relay
 // has not used them for it: others have, or will.
-var preference = [...]float64{0.6, 0.3, 0.15}
+var preference = [...]float64{1, 0.4, 0.2}
 
 // estimate is what an attempt at an endpoint is expected to take, in milliseconds.
 type estimate struct {
--- a/internal/selector/outcome.go
+++ b/internal/selector/outcome.go
@@ -125,6 +125,9 @@
 // failed takes an outcome that is no answer.
 func (s *Selector) failed(now time.Time, attempt *Attempt, outcome Outcome) {
 	health := &attempt.endpoint.health
+	if attempt.sentAt.Before(health.backAt) && outcome.Kind != Full {
+		return // it was sent before the endpoint came back from a skip
+	}
 	switch outcome.Kind {
 	case Full, NotExecuted, Misdirected:
 		health.heard(now)
--- a/internal/selector/pace.go
+++ b/internal/selector/pace.go
@@ -94,11 +94,11 @@
 }
 
 const (
-	secondParts = 10
-	secondPart  = time.Second / secondParts
+	secondPart  = time.Second / 10
+	secondParts = 11 // the parts that a second touches
 )
 
-// lastSecond counts the calls of about the last second, in tenths.
+// lastSecond counts the calls of the last second, in tenths: no fewer than there were.
 type lastSecond struct {
 	parts  [secondParts]uint32
 	newest int64
--- a/internal/selector/plan.go
+++ b/internal/selector/plan.go
@@ -8,6 +8,9 @@
 	"wallflow/internal/config"
 )
 
+// crossingBytes is how many bytes of a body may travel to another region for each token that need not be read again there.
+const crossingBytes = 8
+
 // share is one service of a route's split.
 type share struct {
 	service *service
@@ -75,6 +78,39 @@
 	return tiers
 }
 
+// tiersFor lists a request's tiers in the order in which they are tried. A prompt with a large opening begins in the region that
+// keeps the opening, so that the fleet reads it once; the others follow in the fixed order.
+func (s *Selector) tiersFor(request *Request) []*tier {
+	order := request.plan.orders[request.drawn]
+	part, affine := request.affinity()
+	if !affine || request.Parts[0].Tokens*crossingBytes < request.BodyBytes {
+		return order
+	}
+	home := openingHome(part, order, request.service())
+	if home <= 0 {
+		return order
+	}
+	s.tierScratch = append(s.tierScratch[:0], order[home])
+	s.tierScratch = append(s.tierScratch, order[:home]...)
+	return append(s.tierScratch, order[home+1:]...)
+}
+
+// openingHome is the index of the tier that keeps an opening: by rendezvous hashing over the regions, each weighted by its warm
+// endpoints, so that all relays agree with no shared state. Below zero: no tier has any.
+func openingHome(part uint64, order []*tier, drawn *service) int {
+	home, highest := -1, 0.0
+	for index, tier := range order {
+		count := len(tier.warm())
+		if tier.service != drawn || count == 0 {
+			continue
+		}
+		if score := weightedRendezvous(part, hashText(tier.region), count); home < 0 || score > highest {
+			home, highest = index, score
+		}
+	}
+	return home
+}
+
 // allowedRegions are the regions that may serve a route, the own one first. Homes always bind.
 func (s *Selector) allowedRegions(route *config.Route) []string {
 	if len(route.HomeRegions) == 0 {
--- a/internal/selector/selector.go
+++ b/internal/selector/selector.go
@@ -1,8 +1,10 @@
 package selector
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"time"
 
 	"wallflow/internal/budget"
@@ -17,6 +19,7 @@
 	compiled  *config.Compiled
 	services  map[string]*service
 	endpoints map[string]*endpoint // by instance id
+	ordered   []*endpoint          // the same, in the order of their coming: equal inputs give equal decisions
 	plans     map[*config.Route]*plan
 	regions   []string // the own region first, then the others in a fixed order
 	evacuated map[string]bool
@@ -28,8 +31,16 @@
 	woken     []*Request
 	listing   uint64 // number of the last whole list
 	scratch   []candidate
+
+	tierScratch []*tier
 }
 
+// The list of endpoints in order is packed when it is longer than this many times the endpoints, and a few more.
+const (
+	packFactor = 2
+	packLeast  = 16
+)
+
 // New returns a Selector that knows no configuration and no endpoints.
 func New(options Options) *Selector {
 	options.complete()
@@ -51,10 +62,10 @@
 func (s *Selector) SetConfig(now time.Time, compiled *config.Compiled) {
 	s.compiled = compiled
 	clear(s.plans)
-	for name, service := range s.services {
-		service.backend, _ = compiled.Backend(name)
+	for _, service := range s.sorted() {
+		service.backend, _ = compiled.Backend(service.name)
 		if service.backend == nil && service.empty() {
-			delete(s.services, name)
+			delete(s.services, service.name)
 			continue
 		}
 		s.settleCold(now, service)
@@ -74,17 +85,19 @@
 	for index := range instances {
 		s.upsert(now, &instances[index])
 	}
-	for _, endpoint := range s.endpoints {
-		if endpoint.listing != s.listing {
+	for _, endpoint := range s.ordered {
+		if !endpoint.removed && endpoint.listing != s.listing {
 			s.remove(endpoint)
 		}
 	}
+	s.pack()
 	s.wakeAll()
 }
 
 // SetInstance takes on what is new of one instance.
 func (s *Selector) SetInstance(now time.Time, instance registry.Instance) {
 	s.upsert(now, &instance)
+	s.pack()
 	s.wakeTier(s.service(instance.Backend))
 }
 
@@ -103,6 +116,7 @@
 	if known == nil {
 		known = newEndpoint(s.service(instance.Backend), instance)
 		s.endpoints[instance.ID] = known
+		s.ordered = append(s.ordered, known)
 	}
 	known.instance, known.listing = *instance, s.listing
 	s.join(known)
@@ -125,10 +139,17 @@
 func (s *Selector) remove(endpoint *endpoint) {
 	endpoint.tier.place(endpoint, placeNowhere)
 	endpoint.removed = true
-	s.cold.Forget(endpoint.instance.ID)
 	delete(s.endpoints, endpoint.instance.ID)
 }
 
+// pack drops the removed endpoints from the ordered list, once they are many.
+func (s *Selector) pack() {
+	if len(s.ordered) <= packFactor*len(s.endpoints)+packLeast {
+		return
+	}
+	s.ordered = slices.DeleteFunc(s.ordered, func(e *endpoint) bool { return e.removed })
+}
+
 // SetEvacuated takes on the list of evacuated zones: nothing is sent to their endpoints. The endpoints of a zone that is taken
 // back count as cold from now on.
 func (s *Selector) SetEvacuated(now time.Time, zones []string) {
@@ -138,7 +159,10 @@
 	}
 	before := s.evacuated
 	s.evacuated = evacuated
-	for _, endpoint := range s.endpoints {
+	for _, endpoint := range s.ordered {
+		if endpoint.removed {
+			continue
+		}
 		zone := endpoint.instance.Zone
 		if before[zone] == evacuated[zone] {
 			continue
@@ -155,7 +179,7 @@
 func (s *Selector) SetPeers(now time.Time, relaysInZone int, owns func(instanceID string) bool) {
 	s.relays = max(1, relaysInZone)
 	s.owns = owns
-	for _, service := range s.services {
+	for _, service := range s.sorted() {
 		s.settleCold(now, service)
 	}
 	s.wakeAll()
@@ -163,7 +187,11 @@
 
 // settleCold looks again at the endpoints of a service that were cold.
 func (s *Selector) settleCold(now time.Time, service *service) {
-	for _, tier := range service.tiers {
+	for _, region := range s.regions {
+		tier := service.tiers[region]
+		if tier == nil {
+			continue
+		}
 		cold := slices.Concat(tier.lists[placeOwned], tier.lists[placeForeign])
 		for _, endpoint := range cold {
 			s.settle(now, endpoint)
@@ -180,6 +208,11 @@
 	endpoint.load.report(now, report)
 }
 
+// sorted lists the services in a fixed order.
+func (s *Selector) sorted() []*service {
+	return slices.SortedFunc(maps.Values(s.services), func(a, b *service) int { return strings.Compare(a.name, b.name) })
+}
+
 // service finds or makes the record of a service.
 func (s *Selector) service(name string) *service {
 	known := s.services[name]
--- a/internal/selector/waiting.go
+++ b/internal/selector/waiting.go
@@ -79,7 +79,7 @@
 
 // wakeAll has all requests that wait ask again.
 func (s *Selector) wakeAll() {
-	for _, service := range s.services {
+	for _, service := range s.sorted() {
 		s.wakeTier(service)
 	}
 }
