Share an endpoint's connections among the relays, and the directory's code

Need: an endpoint resets connections beyond maxConns of all callers together, and each relay held itself free to open all of them. Change: each holds 0.9 of them divided by the relays that membership knows, 8 at least; changes of instances go to the selector one by one; what is gone has its connections forgotten; a control process waits for a majority before it judges silence. The directory and the plumbing of our HTTP interfaces are packages of their own, with tests.

--- a/internal/control/api.go
+++ b/internal/control/api.go
@@ -1,7 +1,6 @@
 package control
 
 import (
-	"encoding/json"
 	"errors"
 	"io"
 	"net/http"
@@ -12,11 +11,14 @@
 
 	"wallflow/internal/chain"
 	"wallflow/internal/config"
+	"wallflow/internal/directory"
+	"wallflow/internal/httpapi"
+	"wallflow/internal/swim"
 )
 
 // ControlHandler serves the operator's API and the endpoints' heartbeats.
 func (p *Process) ControlHandler() http.Handler {
-	router := newRouter()
+	router := httpapi.NewRouter()
 	router.PUT("/config", p.putConfig)
 	router.PATCH("/config", p.patchConfig)
 	router.GET("/config", p.getConfig)
@@ -25,59 +27,22 @@
 	router.PUT("/instances/:id", p.heartbeat)
 	router.DELETE("/instances/:id", p.leave)
 	router.GET("/healthz", p.health)
+	router.GET("/status", p.status)
 	return router
 }
 
 // DirectoryHandler serves clients that ask where to go.
 func (p *Process) DirectoryHandler() http.Handler {
-	router := newRouter()
-	router.GET("/resolve", p.resolve)
-	return router
-}
-
-// newRouter is a router that answers no redirects: a caller that follows none would lose its order.
-func newRouter() *httprouter.Router {
-	router := httprouter.New()
-	router.RedirectTrailingSlash = false
-	router.RedirectFixedPath = false
-	router.HandleOPTIONS = false
-	return router
-}
-
-// NewHTTPServer is a server with the bounds that callers of the control plane get.
-func NewHTTPServer(handler http.Handler) *http.Server {
-	return &http.Server{
-		Handler:           handler,
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-	}
-}
-
-type errorBody struct {
-	Error string `json:"error"`
-}
-
-func answerJSON(w http.ResponseWriter, status int, body any) {
-	data, err := json.Marshal(body)
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusInternalServerError)
-		return
-	}
-	answerBytes(w, status, data)
-}
-
-func answerBytes(w http.ResponseWriter, status int, data []byte) {
-	w.Header().Set("Content-Type", "application/json")
-	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
-	w.WriteHeader(status)
-	_, _ = w.Write(data) // a caller that went away asks again
+	return directory.NewHandler(directory.Options{
+		Members: p.listMembers,
+		HoldMax: p.settings.Bounds.TTLMax(),
+	})
 }
 
-func refuse(w http.ResponseWriter, status int, reason string) {
-	if status == http.StatusServiceUnavailable {
-		w.Header().Set("Retry-After", retryAdvice)
-	}
-	answerJSON(w, status, errorBody{Error: reason})
+func (p *Process) listMembers() []swim.Member {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.members.Members()
 }
 
 func (p *Process) health(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
@@ -85,10 +50,10 @@
 	fresh := p.chain.Fresh(time.Now())
 	p.mu.Unlock()
 	if !fresh {
-		refuse(w, http.StatusServiceUnavailable, "no contact with a majority of the control processes")
+		httpapi.Refuse(w, http.StatusServiceUnavailable, "no contact with a majority of the control processes")
 		return
 	}
-	answerBytes(w, http.StatusOK, []byte("{}"))
+	httpapi.AnswerBytes(w, http.StatusOK, []byte("{}"))
 }
 
 func (p *Process) putConfig(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
@@ -109,7 +74,7 @@
 	if match := r.Header.Get("If-Match"); match != "" {
 		order.Match, err = strconv.ParseUint(match, 10, 64)
 		if err != nil {
-			refuse(w, http.StatusBadRequest, "If-Match: "+match+" is not a whole number")
+			httpapi.Refuse(w, http.StatusBadRequest, "If-Match: "+match+" is not a whole number")
 			return
 		}
 		order.HasMatch = true
@@ -126,10 +91,10 @@
 func refuseUnread(w http.ResponseWriter, err error) {
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
-		refuse(w, http.StatusRequestEntityTooLarge, err.Error())
+		httpapi.Refuse(w, http.StatusRequestEntityTooLarge, err.Error())
 		return
 	}
-	refuse(w, http.StatusServiceUnavailable, "the body did not come whole: "+err.Error())
+	httpapi.Refuse(w, http.StatusServiceUnavailable, "the body did not come whole: "+err.Error())
 }
 
 func (p *Process) evacuate(w http.ResponseWriter, _ *http.Request, params httprouter.Params) {
@@ -142,7 +107,7 @@
 
 func (p *Process) orderZone(w http.ResponseWriter, kind config.OrderKind, zone string) {
 	if _, known := p.settings.Zones[zone]; !known {
-		refuse(w, http.StatusNotFound, "no zone "+zone)
+		httpapi.Refuse(w, http.StatusNotFound, "no zone "+zone)
 		return
 	}
 	p.submit(w, config.Order{Kind: kind, Zone: zone})
@@ -159,28 +124,28 @@
 		return p.chain.Submit(now, request, command)
 	})
 	if !answer.Known {
-		refuse(w, http.StatusServiceUnavailable, "the outcome is not known yet")
+		httpapi.Refuse(w, http.StatusServiceUnavailable, "the outcome is not known yet")
 		return
 	}
 	if answer.Reply.Status == http.StatusOK {
-		answerBytes(w, http.StatusOK, []byte("{}"))
+		httpapi.AnswerBytes(w, http.StatusOK, []byte("{}"))
 		return
 	}
-	refuse(w, answer.Reply.Status, string(answer.Reply.Body))
+	httpapi.Refuse(w, answer.Reply.Status, string(answer.Reply.Body))
 }
 
 func (p *Process) getConfig(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
 	answer := p.ask(answerWithin, p.chain.Read)
 	if !answer.Known {
-		refuse(w, http.StatusServiceUnavailable, "no contact with the control processes in charge")
+		httpapi.Refuse(w, http.StatusServiceUnavailable, "no contact with the control processes in charge")
 		return
 	}
 	current, ok := answer.State.(replicated)
 	if !ok || current.state.Generation() == 0 {
-		refuse(w, http.StatusServiceUnavailable, "no configuration has been taken yet")
+		httpapi.Refuse(w, http.StatusServiceUnavailable, "no configuration has been taken yet")
 		return
 	}
-	answerBytes(w, http.StatusOK, current.state.Document())
+	httpapi.AnswerBytes(w, http.StatusOK, current.state.Document())
 }
 
 // ask hands a request to the chain and waits for its answer, for so long at most.
--- a/internal/control/instances.go
+++ b/internal/control/instances.go
@@ -7,6 +7,7 @@
 	"github.com/julienschmidt/httprouter"
 
 	"wallflow/internal/distribution/feedpb"
+	"wallflow/internal/httpapi"
 	"wallflow/internal/registry"
 	"wallflow/internal/transport"
 )
@@ -48,7 +49,7 @@
 	}
 	beat, err := registry.ParseHeartbeat(params.ByName("id"), body)
 	if err != nil {
-		refuse(w, http.StatusBadRequest, err.Error())
+		httpapi.Refuse(w, http.StatusBadRequest, err.Error())
 		return
 	}
 	p.takeChange(w, func(now time.Time) registry.Change { return p.instances.Heartbeat(now, beat) })
@@ -67,10 +68,10 @@
 		p.mu.Lock()
 		p.replicas.forget(id)
 		p.mu.Unlock()
-		refuse(w, http.StatusServiceUnavailable, "no other control process has taken this yet")
+		httpapi.Refuse(w, http.StatusServiceUnavailable, "no other control process has taken this yet")
 		return
 	}
-	answerBytes(w, http.StatusOK, []byte("{}"))
+	httpapi.AnswerBytes(w, http.StatusOK, []byte("{}"))
 }
 
 // spreadChange returns the channel to wait on; nil: there is nothing to wait for.
--- a/internal/control/options.go
+++ b/internal/control/options.go
@@ -14,17 +14,8 @@
 	largeBodyWithin = 2500 * time.Millisecond
 	// replicatedWithin is how long a leaving endpoint waits until another control process knows of it.
 	replicatedWithin = 800 * time.Millisecond
-	// retryAdvice is what a caller is told to wait after an order whose outcome is not known.
-	retryAdvice = "0.3"
-	// directoryTTL is how long a client may hold an answer of the directory.
-	directoryTTL = 2
-	// directoryMost is the largest number of addresses that a client takes.
-	directoryMost = 64
 	// maxOrderBytes is the largest order that is read.
 	maxOrderBytes = 8 << 20
 	// maxHeartbeatBytes is the largest heartbeat that is read.
 	maxHeartbeatBytes = 64 << 10
-	// headerTimeout and idleTimeout bound the connections of callers.
-	headerTimeout = 5 * time.Second
-	idleTimeout   = 30 * time.Second
 )
--- a/internal/control/process.go
+++ b/internal/control/process.go
@@ -88,6 +88,7 @@
 		Zone:              set.Zone,
 		Life:              random.Uint64(),
 	}, now)
+	p.instances.SetInTouch(now, false) // until a majority is
 	p.feed = distribution.NewPublisher(hex.EncodeToString(randomBytes(8)), now)
 	p.mesh, err = transport.Listen(transport.Options{Address: set.InternalAddress(), Handler: p.receive, Logger: log})
 	if err != nil {
--- a/internal/dataplane/feed.go
+++ b/internal/dataplane/feed.go
@@ -5,7 +5,8 @@
 
 	"wallflow/internal/config"
 	"wallflow/internal/distribution"
-	"wallflow/internal/selector"
+	"wallflow/internal/proxy"
+	"wallflow/internal/registry"
 )
 
 // evacuationView is what the selector was last told of evacuations.
@@ -23,7 +24,7 @@
 		}
 	}
 	if len(output.InstancesChanged) > 0 {
-		p.takeInstances(now)
+		p.takeInstances(now, output.InstancesChanged)
 		p.deliver(p.home.SetInstances(now, output.InstancesChanged).Sends)
 	}
 }
@@ -46,7 +47,7 @@
 		p.selector.SetConfig(now, compiled)
 	}
 	p.zones.apply(now, p, state)
-	wakeAll(p.selector)
+	proxy.WakeAll(p.selector)
 	p.selectorLock.Unlock()
 	if changed {
 		p.compiled.Store(compiled)
@@ -79,24 +80,22 @@
 	p.selector.SetEvacuated(now, zones)
 }
 
-func (p *Process) takeInstances(now time.Time) {
-	instances := p.subscriber.Instances()
-	zoneOf := make(map[string]string, len(instances))
-	for index := range instances {
-		zoneOf[instances[index].ID] = instances[index].Zone
-	}
+// takeInstances tells the selector and the connections what has changed.
+func (p *Process) takeInstances(now time.Time, changed []registry.Instance) {
 	p.selectorLock.Lock()
-	p.zoneOf = zoneOf
-	p.selector.SetInstances(now, instances)
-	wakeAll(p.selector)
+	for _, instance := range changed {
+		if instance.State == registry.StateGone {
+			delete(p.zoneOf, instance.ID)
+		} else {
+			p.zoneOf[instance.ID] = instance.Zone
+		}
+		p.selector.SetInstance(now, instance)
+	}
+	proxy.WakeAll(p.selector)
 	p.selectorLock.Unlock()
-}
-
-// wakeAll wakes the requests that should ask again. Its callers hold the selector's lock.
-func wakeAll(s *selector.Selector) {
-	for _, request := range s.Woken() {
-		if request.Waiter != nil {
-			request.Waiter.Wake()
+	for _, instance := range changed {
+		if instance.State == registry.StateGone {
+			p.pool.Forget(instance.ID)
 		}
 	}
 }
--- a/internal/dataplane/peers.go
+++ b/internal/dataplane/peers.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"wallflow/internal/distribution"
+	"wallflow/internal/proxy"
 	"wallflow/internal/swim"
 )
 
@@ -97,10 +98,11 @@
 		return
 	}
 	p.peers = view
+	p.relays.Store(int64(len(view.all)))
 	p.selectorLock.Lock()
 	defer p.selectorLock.Unlock()
 	p.selector.SetPeers(now, len(view.zones[p.settings.Zone]), p.owns(view))
-	wakeAll(p.selector)
+	proxy.WakeAll(p.selector)
 }
 
 // viewPeers lists the relays that are alive. One that can't reach the others sees itself alone, and owns what it owned: the
--- a/internal/dataplane/process.go
+++ b/internal/dataplane/process.go
@@ -7,6 +7,7 @@
 	"hash/fnv"
 	"log/slog"
 	"math/rand/v2"
+	"net/http"
 	"os"
 	"sync"
 	"sync/atomic"
@@ -17,6 +18,7 @@
 
 	"wallflow/internal/budget"
 	"wallflow/internal/config"
+	"wallflow/internal/directory"
 	"wallflow/internal/distribution"
 	"wallflow/internal/distribution/feedpb"
 	"wallflow/internal/proxy"
@@ -55,6 +57,7 @@
 
 	compiled atomic.Pointer[config.Compiled]
 	ready    atomic.Bool
+	relays   atomic.Int64 // of the whole system, as far as is known
 	zones    evacuationView
 }
 
@@ -62,7 +65,7 @@
 func Start(set *settings.Settings, log *slog.Logger) (*Process, error) {
 	now := time.Now()
 	seed := processSeed(set, now)
-	p := &Process{settings: set, log: log}
+	p := &Process{settings: set, log: log, zoneOf: make(map[string]string)}
 	p.pool = upstream.NewPool(upstream.Options{})
 	p.selector = selector.New(selector.Options{
 		Zone:   set.Zone,
@@ -117,10 +120,24 @@
 		Local:      func(instance *registry.Instance) bool { return p.settings.Zones[instance.Zone] == p.settings.Region },
 		BodyMemory: int64(p.settings.Limits.MemoryMB) << 20 / bodyShare,
 		Grace:      p.settings.Bounds.Grace(),
+		MaxConns:   p.connectionShare,
 		Log:        p.log,
 	}
 }
 
+const (
+	// connectionPart is the part of an endpoint's connections that the relays use together.
+	connectionPart = 0.9
+	// connectionsLeast is what a relay may open however many relays there are: most use few endpoints at a time.
+	connectionsLeast = 8
+)
+
+// connectionShare is how many connections to an endpoint this relay may hold.
+func (p *Process) connectionShare(service *config.Backend) int {
+	relays := max(1, p.relays.Load())
+	return max(connectionsLeast, int(connectionPart*float64(service.MaxConns))/int(relays))
+}
+
 // bodyShare is the divisor of the memory limit that gives the memory for bodies of requests.
 const bodyShare = 4
 
@@ -128,13 +145,14 @@
 func (p *Process) meta(serving bool) swim.Meta {
 	set := p.settings
 	return swim.Meta{
-		Class:   set.MachineClass,
-		Role:    set.Role,
-		Zone:    set.Zone,
-		Region:  set.Region,
-		Front:   set.Listen.Front,
-		Ready:   set.Listen.Ready,
-		Serving: serving,
+		Class:     set.MachineClass,
+		Role:      set.Role,
+		Zone:      set.Zone,
+		Region:    set.Region,
+		Front:     set.Listen.Front,
+		Ready:     set.Listen.Ready,
+		Directory: set.Listen.Directory,
+		Serving:   serving,
 	}
 }
 
@@ -190,6 +208,20 @@
 	p.announce(now)
 }
 
+// DirectoryHandler serves clients that ask where to go.
+func (p *Process) DirectoryHandler() http.Handler {
+	return directory.NewHandler(directory.Options{
+		Members: p.listMembers,
+		HoldMax: p.settings.Bounds.TTLMax(),
+	})
+}
+
+func (p *Process) listMembers() []swim.Member {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.members.Members()
+}
+
 // Close tells the others that the process is gone and ends its connections.
 func (p *Process) Close() {
 	p.mu.Lock()
--- a/internal/dataplane/program.go
+++ b/internal/dataplane/program.go
@@ -7,6 +7,7 @@
 
 	"github.com/gravitational/trace"
 
+	"wallflow/internal/httpapi"
 	"wallflow/internal/program"
 	"wallflow/internal/proxy"
 )
@@ -28,7 +29,15 @@
 		return trace.Wrap(err)
 	}
 	platform := process.server.ReadyServer()
-	failed := make(chan error, 2)
+	failed := make(chan error, 3)
+	if set.Listen.Directory != "" {
+		directory, err := httpapi.Listen(set.Listen.Directory, process.DirectoryHandler())
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		defer directory.ShutDown()
+		go func() { failed <- directory.Serve() }()
+	}
 	go func() { failed <- process.server.Serve(front) }()
 	go func() { failed <- platform.Serve(ready) }()
 	running, stop := context.WithCancel(context.Background())
--- /dev/null
+++ b/internal/directory/directory_test.go
@@ -0,0 +1,75 @@
+package directory
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"wallflow/internal/swim"
+)
+
+func relay(name, zone, region string) swim.Member {
+	return swim.Member{
+		Name: name, Address: name + ":1",
+		Meta: swim.Meta{Zone: zone, Region: region, Front: name + ":80", Serving: true},
+	}
+}
+
+func TestNearestRingWithARelayIsAnswered(t *testing.T) {
+	near, same, far := relay("near", "a", "r"), relay("same", "b", "r"), relay("far", "c", "s")
+	all := []swim.Member{far, same, near}
+	assert.DeepEqual(t, Nearest(all, "a", "r"), []string{"near:80"})
+	assert.DeepEqual(t, Nearest(all, "x", "r"), []string{"same:80", "near:80"})
+	assert.DeepEqual(t, Nearest(all, "x", "y"), []string{"far:80", "same:80", "near:80"})
+	assert.DeepEqual(t, Nearest(all, "c", "s"), []string{"far:80"})
+}
+
+func TestRelaysThatTakeNoTrafficAreLeftOut(t *testing.T) {
+	stopping, control := relay("stopping", "a", "r"), relay("control", "a", "r")
+	stopping.Meta.Serving = false
+	control.Meta.Front = ""
+	assert.Assert(t, Nearest([]swim.Member{stopping, control}, "a", "r") == nil)
+}
+
+func TestSuspectedRelaysAreALastResort(t *testing.T) {
+	doubted, far := relay("doubted", "a", "r"), relay("far", "c", "s")
+	doubted.Status = swim.Suspect
+	assert.DeepEqual(t, Nearest([]swim.Member{doubted, far}, "a", "r"), []string{"far:80"})
+	assert.DeepEqual(t, Nearest([]swim.Member{doubted}, "a", "r"), []string{"doubted:80"})
+}
+
+func TestNoMoreAddressesThanAClientTakes(t *testing.T) {
+	var many []swim.Member
+	for number := range 200 {
+		many = append(many, relay(fmt.Sprintf("edge-%d", number), "a", "r"))
+	}
+	assert.Equal(t, len(Nearest(many, "a", "r")), mostAddresses)
+}
+
+func TestResolveAnswersAsTheProtocolSays(t *testing.T) {
+	members := []swim.Member{relay("10.1.0.10", "a", "r")}
+	handler := NewHandler(Options{Members: func() []swim.Member { return members }, HoldMax: 5 * time.Second})
+	recorder := httptest.NewRecorder()
+	handler.ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/resolve?name=h.example&region=r&zone=a", nil))
+	assert.Equal(t, recorder.Code, http.StatusOK)
+	var answer Resolution
+	assert.NilError(t, json.Unmarshal(recorder.Body.Bytes(), &answer))
+	assert.DeepEqual(t, answer, Resolution{Addresses: []string{"10.1.0.10:80"}, TTLS: 2})
+
+	members = nil
+	recorder = httptest.NewRecorder()
+	handler.ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/resolve?name=h.example&region=r&zone=a", nil))
+	assert.Equal(t, recorder.Code, http.StatusServiceUnavailable)
+	assert.Assert(t, recorder.Header().Get("Retry-After") != "")
+}
+
+func TestAnswersAreHeldNoLongerThanTheBound(t *testing.T) {
+	assert.Equal(t, Options{HoldMax: time.Second}.holdSeconds(), 1)
+	assert.Equal(t, Options{HoldMax: time.Minute}.holdSeconds(), 2)
+	assert.Equal(t, Options{}.holdSeconds(), 2)
+}
--- a/internal/proxy/choose.go
+++ b/internal/proxy/choose.go
@@ -76,3 +76,5 @@
 		}
 	}
 }
+
+var _ Chooser = (*selector.Selector)(nil)
--- a/internal/proxy/door.go
+++ b/internal/proxy/door.go
@@ -31,6 +31,7 @@
 	clients map[*client]struct{}
 	left    chan struct{} // closed and made anew when a connection ends or rests
 	shed    uint64
+	ended   bool      // close was called
 	stopsBy time.Time // accepting ends then at the latest; zero: it does not
 }
 
@@ -38,20 +39,21 @@
 	return &door{most: most, clients: map[*client]struct{}{}, left: make(chan struct{})}
 }
 
-// open sets the listener that clients come through.
-func (d *door) open(listener net.Listener) {
+// open sets the listener that clients come through. False: it is over already.
+func (d *door) open(listener net.Listener) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.listener = listener
+	return !d.ended
 }
 
 // accept returns the next connection, once there is room for it.
 func (d *door) accept() (*client, error) {
 	for {
-		d.makeRoom()
 		conn, err := d.listener.Accept()
 		switch {
 		case err == nil:
+			d.makeRoom()
 			d.quiet()
 			return d.admit(conn), nil
 		case errors.Is(err, os.ErrDeadlineExceeded): // see stop
@@ -67,7 +69,7 @@
 	}
 }
 
-// makeRoom waits until there is room for one more connection, and asks the one that has rested longest to make it.
+// makeRoom waits until there is room for the connection that has come, and has the one that has rested longest make it.
 func (d *door) makeRoom() {
 	for {
 		d.mu.Lock()
@@ -139,9 +141,10 @@
 func (d *door) stop() {
 	d.mu.Lock()
 	d.stopsBy = time.Now().Add(queueMost)
+	listener := d.listener
 	d.mu.Unlock()
-	if !d.quiet() {
-		d.listener.Close()
+	if listener != nil && !d.quiet() {
+		listener.Close()
 	}
 }
 
@@ -200,10 +203,14 @@
 	return owed, d.left
 }
 
-// closeAll closes every connection.
-func (d *door) closeAll() {
+// close closes the listener and every connection.
+func (d *door) close() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.ended = true
+	if d.listener != nil {
+		d.listener.Close()
+	}
 	for c := range d.clients {
 		c.Conn.Close()
 	}
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -116,7 +116,9 @@
 
 // Serve takes the connections of clients until Drain or Close ends it. It may be called once.
 func (s *Server) Serve(listener net.Listener) error {
-	s.door.open(listener)
+	if !s.door.open(listener) {
+		return trace.Wrap(listener.Close())
+	}
 	stop := make(chan struct{})
 	defer close(stop)
 	go s.sweep(stop)
@@ -180,13 +182,7 @@
 
 // Close ends everything at once. Requests that have no answer get none.
 func (s *Server) Close() {
-	s.door.mu.Lock()
-	listener := s.door.listener
-	s.door.mu.Unlock()
-	if listener != nil {
-		listener.Close()
-	}
-	s.door.closeAll()
+	s.door.close()
 	s.currentLane().Close()
 	s.options.Pool.Close()
 }
