--- a/internal/control/process.go
+++ b/internal/control/process.go
@@ -32,6 +32,7 @@
 	settings *settings.Settings
 	log      *slog.Logger
 	mesh     *transport.Mesh
+	traffic  transport.Reporter
 	writer   *writer
 
 	mu        sync.Mutex
@@ -94,6 +95,7 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
+	p.traffic = transport.Reporter{Mesh: p.mesh, Log: log}
 	p.mu.Lock()
 	p.carryOut(first)
 	p.publish(now)
@@ -130,6 +132,7 @@
 			return
 		case now := <-ticker.C:
 			p.tick(now)
+			p.traffic.Tick(now)
 		}
 	}
 }
--- a/internal/dataplane/process.go
+++ b/internal/dataplane/process.go
@@ -39,6 +39,7 @@
 	settings *settings.Settings
 	log      *slog.Logger
 	mesh     *transport.Mesh
+	traffic  transport.Reporter
 	pool     *upstream.Pool
 	server   *proxy.Server
 
@@ -100,6 +101,7 @@
 		return nil, trace.Wrap(err)
 	}
 	p.mesh = mesh
+	p.traffic = transport.Reporter{Mesh: mesh, Log: log}
 	return p, nil
 }
 
@@ -166,6 +168,7 @@
 			return
 		case now := <-ticker.C:
 			p.tick(now)
+			p.traffic.Tick(now)
 		}
 	}
 }
--- a/internal/transport/counters.go
+++ b/internal/transport/counters.go
@@ -28,6 +28,23 @@
 	PeerClosed uint64
 	// Accepted counts incoming connections, Refused those beyond the bound.
 	Accepted, Refused uint64
+	// Sent tells what was sent of each kind, datagrams included, by the number of the kind.
+	Sent [kinds]KindCounter
+}
+
+// KindCounter counts the messages of one kind, with their headers.
+type KindCounter struct{ Messages, Bytes uint64 }
+
+// kindMeter is the live counter behind a KindCounter.
+type kindMeter struct{ messages, bytes atomic.Uint64 }
+
+// sent notes that a message was handed over for sending.
+func (m *meters) sent(kind Kind, bytes int) {
+	if int(kind) >= kinds {
+		return
+	}
+	m.byKind[kind].messages.Add(1)
+	m.byKind[kind].bytes.Add(uint64(bytes))
 }
 
 // meters are the live counters behind Counters.
@@ -41,11 +58,12 @@
 	dials, dialFailures              atomic.Uint64
 	accepted, refused                atomic.Uint64
 	peerClosed                       atomic.Uint64
+	byKind                           [kinds]kindMeter
 }
 
 // snapshot copies the live counters.
 func (m *meters) snapshot() Counters {
-	return Counters{
+	counters := Counters{
 		FramesSent: m.framesSent.Load(), BytesSent: m.bytesSent.Load(),
 		FramesReceived: m.framesReceived.Load(), BytesReceived: m.bytesReceived.Load(),
 		DatagramsSent: m.datagramsSent.Load(), DatagramsReceived: m.datagramsReceived.Load(),
@@ -56,4 +74,8 @@
 		Accepted: m.accepted.Load(), Refused: m.refused.Load(),
 		PeerClosed: m.peerClosed.Load(),
 	}
+	for kind := range m.byKind {
+		counters.Sent[kind] = KindCounter{Messages: m.byKind[kind].messages.Load(), Bytes: m.byKind[kind].bytes.Load()}
+	}
+	return counters
 }
--- a/internal/transport/datagram.go
+++ b/internal/transport/datagram.go
@@ -78,6 +78,7 @@
 		return
 	}
 	m.meters.datagramsSent.Add(1)
+	m.meters.sent(kind, len(datagram))
 }
 
 // encodeDatagram returns the bytes of a datagram that holds the message.
--- a/internal/transport/mesh.go
+++ b/internal/transport/mesh.go
@@ -82,6 +82,7 @@
 		m.meters.droppedLarge.Add(1)
 		return
 	}
+	m.meters.sent(kind, len(encoded))
 	item := queued{bytes: encoded, since: time.Now()}
 	if to == m.address {
 		m.count(m.local.queue.push(item))
--- a/internal/transport/message.go
+++ b/internal/transport/message.go
@@ -15,8 +15,29 @@
 	KindFeed     Kind = 4 // distribution from control processes and home relays to subscribers
 	KindLease    Kind = 5 // grants of shared budgets
 	KindCall     Kind = 6 // calls that a control process passes on to another
+
+	kinds = 7 // the kinds, with the unused 0
 )
 
+// String names the kind.
+func (k Kind) String() string {
+	switch k {
+	case KindChain:
+		return "chain"
+	case KindSwim:
+		return "membership"
+	case KindRegistry:
+		return "registry"
+	case KindFeed:
+		return "feed"
+	case KindLease:
+		return "lease"
+	case KindCall:
+		return "call"
+	}
+	return "unknown"
+}
+
 // Handler takes a message that came from the process whose internal address is from. It is called from several goroutines.
 type Handler func(from string, kind Kind, payload []byte)
 
