--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -18,6 +18,7 @@
 // own requests, the sum over all relays keeps the bound with no shared state.
 type RetryBudget struct {
 	options  Options
+	since    time.Time // of the first call
 	services map[string]*account
 }
 
@@ -72,7 +73,11 @@
 	return known
 }
 
-// slot is the number of the part of a window that a time lies in.
+// slot is the number of the part of a window that a time lies in, counted from the first call: the time of day may be stepped, the
+// time between two calls is not.
 func (b *RetryBudget) slot(now time.Time) int64 {
-	return now.UnixNano() / max(1, int64(b.options.Window)/buckets)
+	if b.since.IsZero() {
+		b.since = now
+	}
+	return int64(now.Sub(b.since)) / max(1, int64(b.options.Window)/buckets)
 }
--- a/internal/distribution/seek.go
+++ b/internal/distribution/seek.go
@@ -1,6 +1,7 @@
 package distribution
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -10,14 +11,19 @@
 const (
 	firstBackOff   = time.Second
 	longestBackOff = 30 * time.Second
+	// needyBackOff is how long a source that failed is left alone by a process whose current source is no good: what a source
+	// failed for, like a core that is about to agree on a new view, may be over long before its back-off is.
+	needyBackOff = 500 * time.Millisecond
 )
 
 // failure is why a source isn't tried for a while.
 type failure struct {
-	until   time.Time
+	at      time.Time
 	backOff time.Duration
 }
 
+func (f failure) until() time.Time { return f.at.Add(f.backOff) }
+
 // seek looks for another source where the current one is no good or isn't the best one.
 func (s *Subscriber) seek(now time.Time, output *Output) {
 	if s.candidate != nil {
@@ -41,7 +47,7 @@
 // nextSource returns the source to try now; "": none.
 func (s *Subscriber) nextSource(now time.Time) string {
 	if s.isBad(now, s.current) {
-		return s.bestUntried(now, len(s.ordered))
+		return cmp.Or(s.bestUntried(now, len(s.ordered)), s.longestFailed(now))
 	}
 	if now.Sub(s.current.since) < s.returnAfter() {
 		return ""
@@ -52,17 +58,29 @@
 // bestUntried returns the best source of those before the given rank that isn't the current one and hasn't failed lately.
 func (s *Subscriber) bestUntried(now time.Time, before int) string {
 	for _, address := range s.ordered[:before] {
-		if s.current != nil && s.current.address == address && !s.isSilent(now, s.current) {
-			continue
-		}
-		if now.Before(s.failures[address].until) {
-			continue
+		if !s.speaks(now, address) && !now.Before(s.failures[address].until()) {
+			return address
 		}
-		return address
 	}
 	return ""
 }
 
+// speaks says whether a source is the current one and not silent: it needs no trial.
+func (s *Subscriber) speaks(now time.Time, address string) bool {
+	return s.current != nil && s.current.address == address && !s.isSilent(now, s.current)
+}
+
+// longestFailed returns the source whose trial lies back the longest, if that is some time ago.
+func (s *Subscriber) longestFailed(now time.Time) string {
+	longest, earliest := "", now.Add(-needyBackOff)
+	for _, address := range s.ordered {
+		if at := s.failures[address].at; !s.speaks(now, address) && at.Before(earliest) {
+			longest, earliest = address, at
+		}
+	}
+	return longest
+}
+
 // returnAfter is the time before a better source is tried, spread so that not all subscribers return at once.
 func (s *Subscriber) returnAfter() time.Duration {
 	spread := registry.IDHash(s.options.Self) % uint64(s.options.ReturnAfter)
@@ -141,13 +159,14 @@
 	s.listing++
 }
 
-// fail keeps a source from being tried for a while, longer each time.
+// fail keeps a source from being tried for a while, longer each time. A failure that lies back as long again as it kept the source
+// from being tried is of another trouble.
 func (s *Subscriber) fail(now time.Time, address string) {
-	backOff := min(longestBackOff, 2*s.failures[address].backOff)
-	if backOff == 0 {
-		backOff = firstBackOff
+	backOff := firstBackOff
+	if last, failed := s.failures[address]; failed && now.Sub(last.until()) < last.backOff {
+		backOff = min(longestBackOff, 2*last.backOff)
 	}
-	s.failures[address] = failure{until: now.Add(backOff), backOff: backOff}
+	s.failures[address] = failure{at: now, backOff: backOff}
 }
 
 func later(a, b time.Time) time.Time {
--- /dev/null
+++ b/internal/distribution/seek_test.go
@@ -0,0 +1,67 @@
+package distribution
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// cutOffWorld has a relay that prefers a control process which is cut off, and two others.
+func cutOffWorld() (*world, *Subscriber) {
+	w := newWorld()
+	for _, name := range []string{"c1", "c2", "c3"} {
+		w.addControl(name)
+	}
+	w.setConfig(wholeUpdate(1, "one"), "c1", "c2", "c3")
+	relay := w.addRelay("r1", "c1", "c2", "c3")
+	w.run(time.Second)
+	w.publishers["c1"].SetFresh(false)
+	return w, relay
+}
+
+// trouble has no source fresh for a while: the control processes agree on a new view.
+func (w *world) trouble(span time.Duration) {
+	w.publishers["c2"].SetFresh(false)
+	w.publishers["c3"].SetFresh(false)
+	w.run(span)
+	w.publishers["c2"].SetFresh(true)
+	w.publishers["c3"].SetFresh(true)
+}
+
+func TestSourcesThatFailedBeforeAreTriedSoonAfterATrouble(t *testing.T) {
+	for _, span := range []time.Duration{600 * time.Millisecond, 1500 * time.Millisecond, 5 * time.Second, 20 * time.Second} {
+		t.Run(span.String(), func(t *testing.T) {
+			w, relay := cutOffWorld()
+			w.trouble(span)
+			w.setConfig(wholeUpdate(2, "two"), "c2", "c3")
+			w.run(1200 * time.Millisecond)
+			assert.Assert(t, relay.Fresh(w.now))
+			assert.Equal(t, relay.Config().Revision, uint64(2))
+		})
+	}
+}
+
+func TestTroublesInARowDoNotAddUp(t *testing.T) {
+	w, relay := cutOffWorld()
+	for range 6 {
+		w.trouble(time.Second)
+		w.run(1200 * time.Millisecond)
+		assert.Assert(t, relay.Fresh(w.now))
+	}
+}
+
+// TestSilentSourcesDoNotHideTheOneThatAnswers has all sources but the last one down.
+func TestSilentSourcesDoNotHideTheOneThatAnswers(t *testing.T) {
+	w := newWorld()
+	names := []string{"c1", "c2", "c3", "c4", "c5", "c6"}
+	for _, name := range names {
+		w.addControl(name)
+		w.down[name] = true
+	}
+	relay := w.addRelay("r1", names...)
+	w.run(20 * time.Second)
+	w.down["c6"] = false
+	w.run(4 * time.Second)
+	assert.Equal(t, relay.Source(), "c6")
+}
--- a/internal/proxy/drain.go
+++ b/internal/proxy/drain.go
@@ -25,7 +25,8 @@
 	}
 	end := s.options.Grace - endBefore
 	deadline := time.Now().Add(end)
-	s.endBy.Store(deadline.Add(-marginMost).UnixNano())
+	endBy := deadline.Add(-marginMost)
+	s.endBy.Store(&endBy)
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	lastCall := time.AfterFunc(s.options.Grace-lastCallBefore, func() { close(s.lastCall) })
--- a/internal/proxy/flight.go
+++ b/internal/proxy/flight.go
@@ -110,8 +110,8 @@
 	if wanted, ok := deadlineOf(f.r.Header, f.arrived); ok && wanted.Before(deadline) {
 		deadline = wanted
 	}
-	if end := f.server.endBy.Load(); end != 0 && time.Unix(0, end).Before(deadline) {
-		deadline = time.Unix(0, end)
+	if end := f.server.endBy.Load(); end != nil && end.Before(deadline) {
+		deadline = *end
 	}
 	margin := min(max(deadline.Sub(f.arrived)/marginShare, marginLeast), marginMost)
 	f.request.Deadline = deadline
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -87,8 +87,8 @@
 	lane *lane // new connections go here
 
 	draining atomic.Bool
-	lastCall chan struct{} // closed when what still waits is to be refused
-	endBy    atomic.Int64  // while draining: when requests must have their answers, in Unix nanoseconds
+	lastCall chan struct{}             // closed when what still waits is to be refused
+	endBy    atomic.Pointer[time.Time] // while draining: when requests must have their answers
 }
 
 // New makes a server. It serves once Serve is called.
--- a/internal/selector/pace.go
+++ b/internal/selector/pace.go
@@ -98,14 +98,19 @@
 	secondParts = 11 // the parts that a second touches
 )
 
-// lastSecond counts the calls of the last second, in tenths: no fewer than there were.
+// lastSecond counts the calls of the last second, in tenths: no fewer than there were. Its tenths are counted from the one of
+// the first call, as the time of day may be stepped.
 type lastSecond struct {
 	parts  [secondParts]uint32
 	newest int64
+	since  time.Time // begin of the tenth of the first call
 }
 
 func (l *lastSecond) advance(now time.Time) {
-	slot := now.UnixNano() / int64(secondPart)
+	if l.since.IsZero() {
+		l.since = now.Add(-time.Duration(now.UnixNano() % int64(secondPart)))
+	}
+	slot := int64(now.Sub(l.since) / secondPart)
 	if slot <= l.newest {
 		return
 	}
