Count an opening's ranking in its home region alone, and as kept there

Change: only the home region's ranking has a credit, and whether that is in time is judged as if the opening were kept. The selector's side of the picture of openings is here too, without effect until a relay has one. Tried, no gain: large prompts ahead of smaller ones by Priority.

--- a/internal/dataplane/peers.go
+++ b/internal/dataplane/peers.go
@@ -29,6 +29,9 @@
 func (p *Process) takeSources(now time.Time) {
 	members := p.members.Members()
 	ordered := p.controlSources(members)
+	if len(ordered) == 0 {
+		ordered = p.settings.SeedInternalAddresses() // until membership knows any
+	}
 	if home := p.homeAddress(members); home != "" && home != p.settings.InternalAddress() {
 		ordered = append([]string{home}, ordered...)
 	}
--- a/internal/selector/candidates.go
+++ b/internal/selector/candidates.go
@@ -42,12 +42,21 @@
 	}
 }
 
+// search says how the endpoints of a tier are looked through.
+type search struct {
+	forced bool // the pace doesn't matter any more
+	home   bool // the tier is the one that keeps the opening of the request's prompt
+}
+
 // best finds the endpoint of a tier with the least cost for a request, and notes when others may take it.
-func (s *Selector) best(now time.Time, request *Request, tier *tier, forced bool, later *soonest) choice {
+func (s *Selector) best(now time.Time, request *Request, tier *tier, how search, later *soonest) choice {
 	var best choice
 	s.scratch = s.candidates(s.scratch[:0], request, tier)
+	if !how.home {
+		unrank(s.scratch)
+	}
 	for _, candidate := range s.scratch {
-		if free := s.admits(now, request, candidate.endpoint, forced); free.After(now) {
+		if free := s.admits(now, request, candidate.endpoint, how.forced); free.After(now) {
 			later.note(free)
 			continue
 		}
@@ -149,6 +158,13 @@
 	}
 }
 
+// unrank takes the ranking away: in a region that is not the opening's home, nobody else has its prompts read.
+func unrank(candidates []candidate) {
+	for index := range candidates {
+		candidates[index].rank = unranked
+	}
+}
+
 // keepRanked drops the candidates that are not ranked.
 func keepRanked(candidates []candidate) []candidate {
 	kept := candidates[:0]
--- a/internal/selector/choose.go
+++ b/internal/selector/choose.go
@@ -58,6 +58,7 @@
 		return
 	}
 	request.drawn = request.plan.draw(s.lot(request))
+	s.countOpening(now, request)
 	if s.options.Budget != nil {
 		s.options.Budget.Request(now, request.service().name)
 	}
@@ -95,11 +96,11 @@
 	var best choice
 	compared := 0
 	aim := inTime * inMs(request.aimLeft(now))
-	for _, tier := range s.tiersFor(request) {
+	for index, tier := range s.tiersFor(request) {
 		if !tier.usable() && len(tier.lists[placeSkipped])+len(tier.lists[placeForeign]) == 0 {
 			continue
 		}
-		found := s.best(now, request, tier, forced, later)
+		found := s.best(now, request, tier, search{forced: forced, home: index == 0}, later)
 		if found.endpoint == nil {
 			continue
 		}
@@ -107,7 +108,7 @@
 			best = found
 		}
 		compared++
-		if found.estimate.first() <= aim || compared >= tierMost {
+		if found.estimate.hoped() <= aim || compared >= tierMost {
 			break
 		}
 	}
--- a/internal/selector/estimate.go
+++ b/internal/selector/estimate.go
@@ -35,11 +35,15 @@
 	cost   float64 // what is compared: the time, what others lose by it, and prices
 	kept   int     // parts that are kept
 	unread int     // tokens that must be read
+	saved  float64 // part of own that falls away if others have had the opening read there, as its ranking says
 }
 
 // first is the expected time to the first byte.
 func (e *estimate) first() float64 { return e.travel + e.wait + e.own }
 
+// hoped is the expected time to the first byte if the opening is kept where its ranking says.
+func (e *estimate) hoped() float64 { return e.first() - e.saved }
+
 // estimate says what an attempt at an endpoint is expected to take; rank is its place in the ranking of the prompt, or unranked.
 func (s *Selector) estimate(now time.Time, request *Request, endpoint *endpoint, rank int) estimate {
 	var e estimate
@@ -81,7 +85,8 @@
 	e.cost = readWeight * reading
 	if rank != unranked {
 		saved := float64(shared(request.Parts, kept)) / model.TokensPerMs
-		e.cost -= preference[rank] * saved * (1 + readWeight)
+		e.saved = request.credit(rank) * saved
+		e.cost -= e.saved * (1 + readWeight)
 	}
 }
 
--- a/internal/selector/opening_test.go
+++ b/internal/selector/opening_test.go
@@ -99,3 +99,47 @@
 		f.after(300 * time.Millisecond)
 	}
 }
+
+func TestARankingCountsInItsHomeRegionAlone(t *testing.T) {
+	f := newFleetAt(t, homeZone, 9)
+	f.engines(homeZone, 4)
+	f.engines(nextZone, 4)
+	for opening := range uint64(200) {
+		r := f.dossier(opening)
+		f.s.begin(f.now, r)
+		order := f.s.tiersFor(r)
+		if order[0].region == home {
+			continue
+		}
+		var later soonest
+		own := f.s.best(f.now, r, order[1], search{}, &later)
+		assert.Equal(t, order[1].region, home)
+		assert.Equal(t, own.estimate.saved, 0.0, "nobody reads the opening %d here", opening)
+		kept := f.s.best(f.now, r, order[0], search{home: true}, &later)
+		assert.Assert(t, kept.estimate.saved > 300, "%f", kept.estimate.saved)
+		assert.Assert(t, kept.cost < own.cost)
+	}
+}
+
+func TestAnOpeningTooLargeForItsAimStaysAtItsHome(t *testing.T) {
+	relays := []*fleet{newFleetAt(t, homeZone, 10), newFleetAt(t, nextZone, 11), newFleetAt(t, lastZone, 12)}
+	for _, relay := range relays {
+		relay.engines(homeZone, 8)
+		relay.engines(nextZone, 4)
+		relay.engines(lastZone, 6)
+	}
+	for opening := range uint64(60) {
+		var met string
+		for _, relay := range relays {
+			r := relay.dossier(opening)
+			r.Parts[0].Tokens, r.TokensIn, r.BodyBytes = 39_900, 43_620, 88_000
+			d := relay.sent(r)
+			if met == "" {
+				met = d.Instance.ID
+			}
+			assert.Equal(t, d.Instance.ID, met, "read whole it is late anywhere, kept it is in time: opening %d", opening)
+			relay.served(d, 300*time.Millisecond)
+			relay.after(500 * time.Millisecond)
+		}
+	}
+}
--- a/internal/selector/options.go
+++ b/internal/selector/options.go
@@ -22,6 +22,8 @@
 	WarmupSlack     float64 // addend of that bound
 
 	Engines EngineModel // how fast engines are; zero: the figures of the deployments that are known
+	// Openings is the picture of the openings in demand; nil: none, and the ranking alone says where each is kept.
+	Openings Openings
 	// RegionDelay is the time from one region to another, one way; zero: 40 ms.
 	RegionDelay time.Duration
 }
--- a/internal/selector/plan.go
+++ b/internal/selector/plan.go
@@ -86,7 +86,10 @@
 	if !affine || request.Parts[0].Tokens*crossingBytes < request.BodyBytes {
 		return order
 	}
-	home := openingHome(part, order, request.service())
+	home := s.placedHome(request, order)
+	if home < 0 {
+		home = openingHome(part, order, request.service())
+	}
 	if home <= 0 {
 		return order
 	}
--- a/internal/selector/request.go
+++ b/internal/selector/request.go
@@ -34,6 +34,7 @@
 
 	begun    bool
 	plan     *plan
+	replicas int // endpoints that keep its opening, as far as is known
 	drawn    int // index of the service drawn from the split
 	tried    []trial
 	offered  bool // an endpoint was offered the request
