--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -43,6 +43,7 @@
 // Main runs a daemon until it is told to stop, and returns the exit code of the process.
 func Main(command *cli.Command, serve func(ctx context.Context, environment Environment) error) int {
 	code := ExitOK
+	hangups := takeHangups()
 	command.Flags = append(command.Flags,
 		&cli.StringFlag{Name: settingsFlag, Usage: "settings file", Value: settings.FromEnvironment()},
 		&cli.StringFlag{Name: levelFlag, Usage: "debug, info, warn or error", Value: "info"},
@@ -57,7 +58,7 @@
 		ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 		defer stop()
 		signal.Ignore(syscall.SIGPIPE)
-		environment.Changed = watch(ctx, parsed.String(settingsFlag), environment.Log)
+		environment.Changed = watch(ctx, parsed.String(settingsFlag), environment.Log, hangups)
 		return serve(ctx, environment)
 	}
 	if err := command.Run(context.Background(), os.Args); err != nil {
