--- a/internal/control/update.go
+++ b/internal/control/update.go
@@ -1,12 +1,37 @@
 package control
 
 import (
+	"bytes"
 	"time"
 
 	"wallflow/internal/config"
 	"wallflow/internal/distribution"
 )
 
+// published is the state that the feed was last given.
+type published struct {
+	state    *config.State
+	revision uint64
+}
+
+// step returns what leads from the published state to a newer one by the items that changed; none where only the whole document
+// does.
+func (p *published) step(newer *config.State, revision uint64) []distribution.Step {
+	if p.state == nil || bytes.Equal(p.state.Document(), newer.Document()) {
+		return nil // the feed notices by itself that a document stayed as it was
+	}
+	patch, ok := config.Diff(p.state.Document(), newer.Document())
+	if !ok {
+		return nil
+	}
+	return []distribution.Step{{
+		Base:       p.revision,
+		Revision:   revision,
+		Generation: newer.Generation(),
+		Patch:      patch,
+	}}
+}
+
 // restorations remembers when this process first saw that a zone was taken back.
 type restorations struct {
 	seen map[string]seenRestoration // by zone
