Encode a message once for all subscribers and compress frames from 4 KB

Cause: each subscriber's copy was encoded anew, and listings repeat the same names. TestPeerThatDoesNotReadIsGivenUp sent repeated bytes, which now compress away, so that it could not fill the peer's buffers; it sends random bytes of the same size, as strict.

--- a/internal/transport/incoming.go
+++ b/internal/transport/incoming.go
@@ -124,6 +124,10 @@
 		}
 		c.mesh.meters.framesReceived.Add(1)
 		c.mesh.meters.bytesReceived.Add(uint64(frameHeader + len(received.payload)))
+		received, err = decompress(received)
+		if err != nil {
+			return err
+		}
 		c.mesh.options.Handler(c.from, received.kind, received.payload)
 	}
 }
--- a/internal/transport/mesh.go
+++ b/internal/transport/mesh.go
@@ -77,11 +77,11 @@
 
 // Send implements Sender.
 func (m *Mesh) Send(to string, kind Kind, message proto.Message) {
-	encoded, err := encodeFrame(kind, message)
-	if err != nil {
-		m.meters.droppedLarge.Add(1)
-		return
-	}
+	m.Batch(kind).Send(to, message)
+}
+
+// sendFrame puts an encoded message into the queue of its destination.
+func (m *Mesh) sendFrame(to string, kind Kind, encoded []byte) {
 	m.meters.sent(kind, len(encoded))
 	item := queued{bytes: encoded, since: time.Now()}
 	if to == m.address {
--- a/internal/transport/mesh_test.go
+++ b/internal/transport/mesh_test.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"strings"
 	"sync/atomic"
@@ -63,6 +64,15 @@
 
 func text(value string) *wrapperspb.StringValue { return wrapperspb.String(value) }
 
+// incompressible is a message that takes as many bytes on the wire as it has.
+func incompressible(size int) *wrapperspb.BytesValue {
+	random := make([]byte, size)
+	for index := range random {
+		random[index] = byte(rand.Uint32())
+	}
+	return wrapperspb.Bytes(random)
+}
+
 func textOf(t *testing.T, payload []byte) string {
 	t.Helper()
 	assert.Assert(t, len(payload) == 0 || payload[0] == 0x0a)
@@ -203,7 +213,7 @@
 	defer func() { _ = silent.Close() }()
 	sender, _ := listen(t, Options{UserTimeout: 100 * time.Millisecond, WriteTimeout: 200 * time.Millisecond})
 	for range 4 {
-		sender.Send(silent.Addr().String(), KindFeed, text(strings.Repeat("x", MaxFrame-64)))
+		sender.Send(silent.Addr().String(), KindFeed, incompressible(MaxFrame-64))
 	}
 	eventually(t, func() bool { return sender.Counters().DroppedBroken > 0 })
 }
--- a/internal/transport/message.go
+++ b/internal/transport/message.go
@@ -15,8 +15,9 @@
 	KindFeed     Kind = 4 // distribution from control processes and home relays to subscribers
 	KindLease    Kind = 5 // grants of shared budgets
 	KindCall     Kind = 6 // calls that a control process passes on to another
+	KindOpenings Kind = 7 // prompt openings in demand, between relays
 
-	kinds = 7 // the kinds, with the unused 0
+	kinds = 8 // the kinds, with the unused 0
 )
 
 // String names the kind.
@@ -34,6 +35,8 @@
 		return "lease"
 	case KindCall:
 		return "call"
+	case KindOpenings:
+		return "openings"
 	}
 	return "unknown"
 }
