--- a/internal/swim/doc.go
+++ b/internal/swim/doc.go
@@ -24,11 +24,12 @@
 // # Finding each other
 //
 // A new member asks one seed after the other, every 200 ms, until one answers with all it knows. Every few seconds a member
-// compares a digest of the live members with another one, mostly of its own zone, and both exchange their states where the
-// digests differ. The dead are kept for a while and pinged now and then, as are seeds that are not members, so that halves
-// that were cut apart find each other. A ping to a member that is not thought alive carries that belief, which the member
-// then refutes. A report of a death in a full exchange is not believed but checked, so that halves that meet again do not
-// bury each other.
+// compares a digest of the live members with another one, mostly of its own zone. Where the digests differ, one sends a summary
+// of the members that it knows, about 16 bytes for each; the other answers with the states that it knows better and asks for
+// those that it lacks, so that only what differs is sent in full. The dead are kept for a while and pinged now and then, as are
+// seeds that are not members, so that halves that were cut apart find each other. A ping to a member that is not thought alive
+// carries that belief, which the member then refutes. A report of a death in an exchange is not believed but checked, so that
+// halves that meet again do not bury each other.
 //
 // # Incarnations
 //
--- a/internal/swim/exchange.go
+++ b/internal/swim/exchange.go
@@ -92,54 +92,20 @@
 	})
 }
 
-// onDigest starts a full exchange when the other knows something else.
+// onDigest starts an exchange when the other knows something else.
 func (n *Node) onDigest(from string, message *swimpb.Message) {
 	if message.GetDigest() == n.table.digest || n.self.Status == Left {
 		return
 	}
-	n.message(from, &swimpb.Message{
-		Type:         swimpb.Type_TYPE_STATES,
-		States:       n.allStates(),
-		AnswerWanted: true,
-	})
+	n.message(from, &swimpb.Message{Type: swimpb.Type_TYPE_SUMMARY, Summary: n.summary()})
 }
 
-// onStates ends the join, and answers with what this process knows better.
+// onStates ends the join, and answers with the states that were asked for.
 func (n *Node) onStates(from string, message *swimpb.Message) {
 	n.joined = true
-	if !message.GetAnswerWanted() {
-		return
-	}
-	if better := n.better(message.GetStates()); len(better) > 0 {
-		n.message(from, &swimpb.Message{Type: swimpb.Type_TYPE_STATES, States: better})
-	}
-}
-
-// better returns the states that supersede what another told, and those that it did not tell.
-func (n *Node) better(theirs []*swimpb.State) []*swimpb.State {
-	told := make(map[string]*swimpb.State, len(theirs))
-	for _, state := range theirs {
-		told[state.GetName()] = state
-	}
-	var better []*swimpb.State
-	for _, mine := range n.allStates() {
-		other := told[mine.GetName()]
-		if other == nil && Status(mine.GetStatus()).live() {
-			better = append(better, mine)
-			continue
-		}
-		if other != nil && stateSupersedes(mine, other) {
-			better = append(better, mine)
-		}
-	}
-	return better
-}
-
-func stateSupersedes(state, other *swimpb.State) bool {
-	if state.GetIncarnation() != other.GetIncarnation() {
-		return state.GetIncarnation() > other.GetIncarnation()
+	if states := n.wantedStates(message.GetWanted()); len(states) > 0 {
+		n.message(from, &swimpb.Message{Type: swimpb.Type_TYPE_STATES, States: states})
 	}
-	return state.GetStatus() > other.GetStatus()
 }
 
 // wantSync compares with a process that turned up unexpectedly, at a bounded rate.
--- a/internal/swim/node.go
+++ b/internal/swim/node.go
@@ -135,6 +135,8 @@
 		n.onJoin(from)
 	case swimpb.Type_TYPE_DIGEST:
 		n.onDigest(from, message)
+	case swimpb.Type_TYPE_SUMMARY:
+		n.onSummary(from, message)
 	case swimpb.Type_TYPE_STATES:
 		n.onStates(from, message)
 	}
