Own cold endpoints only in touch; serve early; share openings, off by default

Causes: relays of a zone that start together each owned its cold endpoints (found by reading; 51 requests a second where 36 are borne), and no relay called itself ready until control had waited two heartbeats after a loss of everything. Changes: a relay owns nothing until its feed has been fresh for 1.5 s and nothing while cut off; it is ready with a configuration and any endpoint.

--- a/cmd/wallflow-proxy/main.go
+++ b/cmd/wallflow-proxy/main.go
@@ -11,8 +11,14 @@
 )
 
 func main() {
+	var options dataplane.Options
 	os.Exit(program.Main(&cli.Command{
 		Name:  "wallflow-proxy",
 		Usage: "take requests from clients and pass each to an endpoint",
-	}, dataplane.Serve))
+		Flags: []cli.Flag{&cli.BoolFlag{
+			Name:        "openings",
+			Usage:       "share and follow the picture of the prompt openings in demand",
+			Destination: &options.Openings,
+		}},
+	}, options.Serve))
 }
--- /dev/null
+++ b/internal/dataplane/ownership_test.go
@@ -0,0 +1,48 @@
+package dataplane
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+var begin = time.Unix(1_000_000, 0)
+
+func TestARelayThatJustStartedOwnsNothing(t *testing.T) {
+	var o ownership
+	assert.Assert(t, !o.update(begin, false))
+	assert.Assert(t, !o.update(begin.Add(time.Second), true))
+	assert.Assert(t, !o.update(begin.Add(2*time.Second), true))
+	assert.Assert(t, o.update(begin.Add(2500*time.Millisecond), true))
+}
+
+func TestARelayThatIsCutOffOwnsNothing(t *testing.T) {
+	o := ownership{since: begin}
+	now := begin.Add(time.Minute)
+	assert.Assert(t, o.update(now, true))
+	assert.Assert(t, !o.update(now.Add(time.Second), false))
+	assert.Assert(t, !o.update(now.Add(2*time.Second), true), "it waits again")
+	assert.Assert(t, o.update(now.Add(4*time.Second), true))
+}
+
+func TestRelaysThatSeeTheSameAgreeOnTheOwner(t *testing.T) {
+	view := peerView{
+		mayOwn: true,
+		zones:  map[string][]string{"a": {"edge-1", "edge-2", "edge-3"}, "b": {"edge-4"}},
+		all:    []string{"edge-1", "edge-2", "edge-3", "edge-4"},
+	}
+	owners := map[string]int{}
+	for number := range 300 {
+		owners[view.owner("a", fmt.Sprintf("i-%d", number))]++
+	}
+	assert.Equal(t, len(owners), 3)
+	for relay, count := range owners {
+		assert.Assert(t, count > 60, "%s owns %d", relay, count)
+	}
+	assert.Equal(t, view.owner("b", "i-1"), "edge-4")
+	assert.Assert(t, view.owner("c", "i-1") != "", "a zone without relays has an owner elsewhere")
+	view.mayOwn = false
+	assert.Equal(t, view.owner("b", "i-1"), "")
+}
--- a/internal/dataplane/peers.go
+++ b/internal/dataplane/peers.go
@@ -20,8 +20,9 @@
 
 // peerView is what the selector was last told of the relays around.
 type peerView struct {
-	zones map[string][]string // names of the relays by zone
-	all   []string
+	mayOwn bool                // this relay is in touch, and has been for a while
+	zones  map[string][]string // names of the relays by zone
+	all    []string
 }
 
 // takeSources orders the processes that this relay may take its feed from: the home of a large zone, then control processes of
@@ -97,6 +98,7 @@
 // takePeers tells the selector of the relays around when they have changed.
 func (p *Process) takePeers(now time.Time) {
 	view := p.viewPeers()
+	view.mayOwn = p.ownership.update(now, p.subscriber.Fresh(now))
 	if view.equal(p.peers) {
 		return
 	}
@@ -108,8 +110,7 @@
 	proxy.WakeAll(p.selector)
 }
 
-// viewPeers lists the relays that are alive. One that can't reach the others sees itself alone, and owns what it owned: the
-// bound of a cold endpoint holds for two owners at once.
+// viewPeers lists the relays that are alive.
 func (p *Process) viewPeers() peerView {
 	view := peerView{zones: make(map[string][]string)}
 	for _, member := range p.members.Members() {
@@ -123,18 +124,12 @@
 }
 
 func (v peerView) equal(other peerView) bool {
-	return slices.Equal(v.all, other.all)
+	return v.mayOwn == other.mayOwn && slices.Equal(v.all, other.all)
 }
 
-// owns tells whether this relay is the one that may call a cold endpoint: one relay of the endpoint's zone, or, where that has
-// none, of all relays.
+// owns tells whether this relay is the one that may call a cold endpoint.
 func (p *Process) owns(view peerView) func(instanceID string) bool {
 	return func(instanceID string) bool {
-		zone := p.zoneOf[instanceID]
-		relays := view.zones[zone]
-		if len(relays) == 0 {
-			relays = view.all
-		}
-		return distribution.Home(zone, relays, instanceID) == p.settings.Node
+		return view.owner(p.zoneOf[instanceID], instanceID) == p.settings.Node
 	}
 }
--- a/internal/dataplane/process.go
+++ b/internal/dataplane/process.go
@@ -50,6 +50,7 @@
 	home       *distribution.Publisher // feeds the other relays of a large zone
 	peers      peerView                // as the selector was last told
 	sources    []string
+	ownership  ownership
 	leaving    bool
 
 	selectorLock sync.Mutex
@@ -60,13 +61,17 @@
 	ready    atomic.Bool
 	relays   atomic.Int64 // of the whole system, as far as is known
 	zones    evacuationView
+	openings *openingsPart // nil: turned off
 }
 
 // Start joins a relay to the system.
-func Start(set *settings.Settings, log *slog.Logger) (*Process, error) {
+func Start(set *settings.Settings, log *slog.Logger, options Options) (*Process, error) {
 	now := time.Now()
 	seed := processSeed(set, now)
 	p := &Process{settings: set, log: log, zoneOf: make(map[string]string)}
+	if options.Openings {
+		p.openings = newOpeningsPart(set, now)
+	}
 	p.pool = upstream.NewPool(upstream.Options{})
 	p.selector = selector.New(selector.Options{
 		Zone:   set.Zone,
@@ -79,6 +84,7 @@
 		}),
 		WarmupOvershoot: set.Bounds.WarmupOvershoot,
 		WarmupSlack:     set.Bounds.WarmupSlack,
+		Openings:        p.openings.forSelector(),
 	})
 	p.members = swim.New(swim.Options{
 		Self: swim.Member{
@@ -190,12 +196,13 @@
 	p.home.SetFresh(p.subscriber.Fresh(now))
 	p.home.SetComplete(p.subscriber.Complete())
 	p.deliver(p.home.Tick(now).Sends)
+	p.tickOpenings(now)
 	p.announce(now)
 }
 
 // announce tells the other processes whether clients should come here.
 func (p *Process) announce(now time.Time) {
-	serving := !p.leaving && p.compiled.Load() != nil && (p.subscriber.Complete() || p.ready.Load())
+	serving := !p.leaving && (p.ready.Load() || p.canServe())
 	if serving == p.ready.Load() {
 		return
 	}
@@ -203,6 +210,12 @@
 	p.spread(p.members.SetMeta(now, p.meta(serving)))
 }
 
+// canServe tells whether there is a configuration and, as far as is known, an endpoint. To wait until control has heard of all of
+// them after a loss of everything would leave clients without a relay for longer than most endpoints take to be known.
+func (p *Process) canServe() bool {
+	return p.compiled.Load() != nil && (p.subscriber.Complete() || len(p.zoneOf) > 0)
+}
+
 // Stop has clients sent elsewhere. The process serves on.
 func (p *Process) Stop(now time.Time) {
 	p.mu.Lock()
@@ -251,6 +264,8 @@
 			p.receiveFeed(now, from, message)
 			p.mu.Unlock()
 		}
+	case transport.KindOpenings:
+		p.receiveOpenings(now, from, payload)
 	}
 }
 
@@ -283,7 +298,8 @@
 
 // deliver sends messages of the feed.
 func (p *Process) deliver(sends []distribution.Send) {
+	batch := p.mesh.Batch(transport.KindFeed)
 	for _, send := range sends {
-		p.mesh.Send(send.To, transport.KindFeed, send.Message)
+		batch.Send(send.To, send.Message)
 	}
 }
--- a/internal/dataplane/program.go
+++ b/internal/dataplane/program.go
@@ -12,10 +12,15 @@
 	"wallflow/internal/proxy"
 )
 
+// Options are what the command line of a relay says.
+type Options struct {
+	Openings bool // share and follow the picture of the prompt openings in demand
+}
+
 // Serve runs a relay until the context ends, and ends it in order: every request that was read gets its answer.
-func Serve(ctx context.Context, environment program.Environment) error {
+func (o *Options) Serve(ctx context.Context, environment program.Environment) error {
 	set, log := environment.Settings, environment.Log
-	process, err := Start(set, log)
+	process, err := Start(set, log, *o)
 	if err != nil {
 		return trace.Wrap(err)
 	}
