--- a/cmd/wallflow/agent.go
+++ b/cmd/wallflow/agent.go
@@ -8,7 +8,7 @@
 	"net/http"
 	"time"
 
-	"github.com/spf13/cobra"
+	"github.com/urfave/cli/v3"
 
 	"wallflow/internal/agent"
 	"wallflow/internal/units"
@@ -26,55 +26,57 @@
 	Zone   string            // of its machine
 }
 
-func newAgent(a *app) *cobra.Command {
-	c := &cobra.Command{
-		Use:   "agent",
-		Short: "Runs the agent beside a relay: the list, and the notices, whether the service is there or not",
-		Long: `Runs an agent until SIGTERM. It follows any of the list servers and changes over where one is silent or behind, keeps the last list
+func newAgent(a *app) *cli.Command {
+	return &cli.Command{
+		Name:  "agent",
+		Usage: "Runs the agent beside a relay: the list, and the notices, whether the service is there or not",
+		Description: described(`Runs an agent until SIGTERM. It follows any of the list servers and changes over where one is silent or behind, keeps the last list
 on disk, and serves the relay from there. Notices are answered for once they lie on this machine's disk, and handed on in
 their order, each at least once.
 
 The relay's ROUTER_DISCOVERY is the agent's address.`,
-		Example: `  wallflow agent --server 127.0.0.1:7600,127.0.0.1:7610,127.0.0.1:7620 --finals 127.0.0.1:7700
-  wallflow agent status`,
-		Args: cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
+			`wallflow agent --server 127.0.0.1:7600,127.0.0.1:7610,127.0.0.1:7620 --finals 127.0.0.1:7700`,
+			`wallflow agent status`),
+		Flags: []cli.Flag{
+			stringFlag(&a.Agent.Dir, "dir", "wallflow-agent", "folder of its list and of notices"),
+			stringFlag(&a.Agent.Listen, "listen", "127.0.0.1:7500", "address for the relay"),
+			stringFlag(&a.Agent.Finals, "finals", "", "address that takes the notices (default: they are kept)"),
+			stringFlag(&a.Agent.TakeOn, "take-on", "", "id of a list to be taken on though it has far fewer entries than the one that is held"),
+			stringFlag(&a.Agent.Name, "register", "", "name under which the agent registers its relay with the service, for the fleet's policy (default: it does not)"),
+			stringFlag(&a.Agent.Zone, "zone", "", "zone of its machine"),
+			a.servers(),
+		},
+		Commands: []*cli.Command{newAgentStatus(a)},
+		Action: a.action(noArguments, func(ctx context.Context, _ *cli.Command) error {
 			s := a.Agent
-			g, err := agent.Open(agent.Options{Dir: s.Dir, Listen: s.Listen, Servers: a.Server, Finals: s.Finals, Spool: s.Spool.N, TakeOn: s.TakeOn, Via: s.Via, Name: s.Name, Zone: s.Zone,
+			g, err := agent.Open(agent.Options{Dir: s.Dir, Listen: s.Listen, Servers: given(a.Server), Finals: s.Finals, Spool: s.Spool.N, TakeOn: s.TakeOn, Via: s.Via, Name: s.Name, Zone: s.Zone,
 				Build: version(), Log: a.log})
 			if err != nil {
 				return fmt.Errorf("agent: %w", err)
 			}
-			if err := g.Run(cmd.Context()); err != nil {
+			if err := g.Run(ctx); err != nil {
 				return fmt.Errorf("agent: %w", err)
 			}
 			return nil
-		},
+		}),
 	}
-	f := c.Flags()
-	f.StringVar(&a.Agent.Dir, "dir", "wallflow-agent", "folder of its list and of notices")
-	f.StringVar(&a.Agent.Listen, "listen", "127.0.0.1:7500", "address for the relay")
-	f.StringVar(&a.Agent.Finals, "finals", "", "address that takes the notices (default: they are kept)")
-	f.StringVar(&a.Agent.TakeOn, "take-on", "", "id of a list to be taken on though it has far fewer entries than the one that is held")
-	f.StringVar(&a.Agent.Name, "register", "", "name under which the agent registers its relay with the service, for the fleet's policy (default: it does not)")
-	f.StringVar(&a.Agent.Zone, "zone", "", "zone of its machine")
-	a.servers(c)
-	c.AddCommand(newAgentStatus())
-	return c
 }
 
-func newAgentStatus() *cobra.Command {
+func newAgentStatus(a *app) *cli.Command {
 	var at string
 	var asJSON bool
-	c := &cobra.Command{
-		Use:   "status",
-		Short: "Shows what an agent holds, and whom it follows",
-		Long: `Shows what an agent holds, and whom it follows.
+	return &cli.Command{
+		Name:  "status",
+		Usage: "Shows what an agent holds, and whom it follows",
+		Description: `Shows what an agent holds, and whom it follows.
 
 Exit codes: 0 it follows a server and has a list; 1 it does not; 2 it does not answer.`,
-		Args: cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			ctx, cancel := context.WithTimeout(cmd.Context(), commandFor)
+		Flags: []cli.Flag{
+			stringFlag(&at, "agent", "127.0.0.1:7500", "address of the agent"),
+			boolFlag(&asJSON, "json", "as JSON"),
+		},
+		Action: a.action(noArguments, func(ctx context.Context, cmd *cli.Command) error {
+			ctx, cancel := context.WithTimeout(ctx, commandFor)
 			defer cancel()
 			req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+at+"/agent/status", nil)
 			if err != nil {
@@ -89,7 +91,7 @@
 			if err := json.NewDecoder(res.Body).Decode(&r); err != nil || res.StatusCode != http.StatusOK {
 				return errors.Join(fmt.Errorf("%s answers %s", at, res.Status), err)
 			}
-			out := cmd.OutOrStdout()
+			out := cmd.Root().Writer
 			if asJSON {
 				e := json.NewEncoder(out)
 				e.SetIndent("", "  ")
@@ -129,9 +131,6 @@
 				return errBroken
 			}
 			return nil
-		},
+		}),
 	}
-	c.Flags().StringVar(&at, "agent", "127.0.0.1:7500", "address of the agent")
-	c.Flags().BoolVar(&asJSON, "json", false, "as JSON")
-	return c
 }
--- a/cmd/wallflow/endpoint.go
+++ b/cmd/wallflow/endpoint.go
@@ -11,7 +11,7 @@
 	"text/tabwriter"
 	"time"
 
-	"github.com/spf13/cobra"
+	"github.com/urfave/cli/v3"
 
 	"wallflow/internal/catalog"
 	"wallflow/internal/listsvc/client"
@@ -19,40 +19,43 @@
 
 const editsMost = 10 // times that an edit begins anew, since others wrote meanwhile
 
-func newEndpoint(a *app) *cobra.Command {
-	c := &cobra.Command{
-		Use:   "endpoint",
-		Short: "Shows and edits the list of endpoints",
-		Example: `  wallflow endpoint list --cell 3
-  wallflow endpoint add s-b2fde1 --addr 10.1.0.18:3000 --zone a --kind m2 --cell 3 --weight 40
-  wallflow endpoint drain s-b2fde1
-  wallflow endpoint remove s-b2fde1`,
+func newEndpoint(a *app) *cli.Command {
+	return &cli.Command{
+		Name:  "endpoint",
+		Usage: "Shows and edits the list of endpoints",
+		Description: described("",
+			`wallflow endpoint list --cell 3`,
+			`wallflow endpoint add s-b2fde1 --addr 10.1.0.18:3000 --zone a --kind m2 --cell 3 --weight 40`,
+			`wallflow endpoint drain s-b2fde1`,
+			`wallflow endpoint remove s-b2fde1`),
+		Commands: []*cli.Command{newEndpointList(a), newEndpointAdd(a), newEndpointDrain(a), newEndpointRemove(a)},
+		Action:   group,
 	}
-	for _, sub := range []*cobra.Command{newEndpointList(a), newEndpointAdd(a), newEndpointDrain(a), newEndpointRemove(a)} {
-		a.servers(sub)
-		c.AddCommand(sub)
-	}
-	return c
 }
 
 // withClient runs a command for people against the list service.
-func (a *app) withClient(cmd *cobra.Command, do func(ctx context.Context, c *client.Client, out io.Writer) error) error {
-	ctx, cancel := context.WithTimeout(cmd.Context(), commandFor)
+func (a *app) withClient(ctx context.Context, cmd *cli.Command, do func(ctx context.Context, c *client.Client, out io.Writer) error) error {
+	ctx, cancel := context.WithTimeout(ctx, commandFor)
 	defer cancel()
-	c := client.New(a.Server...)
+	c := client.New(given(a.Server)...)
 	defer c.Close()
-	return do(ctx, c, cmd.OutOrStdout())
+	return do(ctx, c, cmd.Root().Writer)
 }
 
-func newEndpointList(a *app) *cobra.Command {
+func newEndpointList(a *app) *cli.Command {
 	var asJSON, consistent bool
 	var cell int
-	c := &cobra.Command{
-		Use:   "list",
-		Short: "Shows the endpoints",
-		Args:  cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			return a.withClient(cmd, func(ctx context.Context, c *client.Client, out io.Writer) error {
+	return &cli.Command{
+		Name:  "list",
+		Usage: "Shows the endpoints",
+		Flags: []cli.Flag{
+			boolFlag(&asJSON, "json", "as JSON, in the platform's form"),
+			boolFlag(&consistent, "consistent", "with all that was acknowledged before; needs a server that leads"),
+			intFlag(&cell, "cell", -1, "those of one partner alone"),
+			a.servers(),
+		},
+		Action: a.action(noArguments, func(ctx context.Context, cmd *cli.Command) error {
+			return a.withClient(ctx, cmd, func(ctx context.Context, c *client.Client, out io.Writer) error {
 				l, h, err := c.List(ctx, consistent)
 				if err != nil {
 					return err
@@ -80,45 +83,36 @@
 					h.Get("X-Catalog-Server"), h.Get("X-Catalog-Age-Ms"))
 				return nil
 			})
-		},
+		}),
 	}
-	f := c.Flags()
-	f.BoolVar(&asJSON, "json", false, "as JSON, in the platform's form")
-	f.BoolVar(&consistent, "consistent", false, "with all that was acknowledged before; needs a server that leads")
-	f.IntVar(&cell, "cell", -1, "those of one partner alone")
-	return c
 }
 
-func newEndpointAdd(a *app) *cobra.Command {
+func newEndpointAdd(a *app) *cli.Command {
 	e := catalog.Entry{State: catalog.Ready}
-	c := &cobra.Command{
-		Use:   "add ID",
-		Short: "Adds an endpoint, or gives one that is there other values",
-		Args:  cobra.ExactArgs(1),
-		RunE: func(cmd *cobra.Command, args []string) error {
-			e.ID = args[0]
+	return &cli.Command{
+		Name:      "add",
+		ArgsUsage: "ID",
+		Usage:     "Adds an endpoint, or gives one that is there other values",
+		Flags: []cli.Flag{
+			required(stringFlag(&e.Addr, "addr", "", "host:port")),
+			required(stringFlag(&e.Zone, "zone", "", "zone")),
+			required(stringFlag(&e.Kind, "kind", "", "kind")),
+			requiredInt(intFlag(&e.Cell, "cell", -1, "number of the partner")),
+			floatFlag(&e.Weight, "weight", 1, "weight"),
+			int64Flag(&e.StartedMS, "started-ms", 0, "when it started, in ms since 1970; 0: not told"),
+			a.servers(),
+		},
+		Action: a.action(exactly(1, "the endpoint's id"), func(ctx context.Context, cmd *cli.Command) error {
+			e.ID = cmd.Args().First()
 			if err := e.Check(); err != nil { // before anything is sent
 				return err
 			}
-			return a.withClient(cmd, func(ctx context.Context, c *client.Client, out io.Writer) error {
+			return a.withClient(ctx, cmd, func(ctx context.Context, c *client.Client, out io.Writer) error {
 				r, err := c.Write(ctx, nil, catalog.Change{Entry: e})
 				return told(out, e.ID, "is on the list", r, err)
 			})
-		},
+		}),
 	}
-	f := c.Flags()
-	f.StringVar(&e.Addr, "addr", "", "host:port")
-	f.StringVar(&e.Zone, "zone", "", "zone")
-	f.StringVar(&e.Kind, "kind", "", "kind")
-	f.IntVar(&e.Cell, "cell", -1, "number of the partner")
-	f.Float64Var(&e.Weight, "weight", 1, "weight")
-	f.Int64Var(&e.StartedMS, "started-ms", 0, "when it started, in ms since 1970; 0: not told")
-	for _, name := range []string{"addr", "zone", "kind", "cell"} {
-		if err := c.MarkFlagRequired(name); err != nil {
-			panic(err) // a slip of the pen above
-		}
-	}
-	return c
 }
 
 func told(out io.Writer, id, what string, r catalog.Result, err error) error {
@@ -156,41 +150,43 @@
 	return catalog.Result{}, fmt.Errorf("others changed the list %d times meanwhile: try again", editsMost)
 }
 
-func newEndpointDrain(a *app) *cobra.Command {
-	return &cobra.Command{
-		Use:   "drain ID",
-		Short: "Has relays begin nothing new with an endpoint",
-		Args:  cobra.ExactArgs(1),
-		RunE: func(cmd *cobra.Command, args []string) error {
-			return a.withClient(cmd, func(ctx context.Context, c *client.Client, out io.Writer) error {
-				r, err := edit(ctx, c, args[0], func(e catalog.Entry) (catalog.Change, error) {
+func newEndpointDrain(a *app) *cli.Command {
+	return &cli.Command{
+		Name:      "drain",
+		ArgsUsage: "ID",
+		Usage:     "Has relays begin nothing new with an endpoint",
+		Flags:     []cli.Flag{a.servers()},
+		Action: a.action(exactly(1, "the endpoint's id"), func(ctx context.Context, cmd *cli.Command) error {
+			id := cmd.Args().First()
+			return a.withClient(ctx, cmd, func(ctx context.Context, c *client.Client, out io.Writer) error {
+				r, err := edit(ctx, c, id, func(e catalog.Entry) (catalog.Change, error) {
 					e.State = catalog.Draining
 					return catalog.Change{Entry: e}, nil
 				})
-				return told(out, args[0], "drains", r, err)
+				return told(out, id, "drains", r, err)
 			})
-		},
+		}),
 	}
 }
 
-func newEndpointRemove(a *app) *cobra.Command {
+func newEndpointRemove(a *app) *cli.Command {
 	var force bool
-	c := &cobra.Command{
-		Use:   "remove ID",
-		Short: "Takes an endpoint that drains off the list",
-		Args:  cobra.ExactArgs(1),
-		RunE: func(cmd *cobra.Command, args []string) error {
-			return a.withClient(cmd, func(ctx context.Context, c *client.Client, out io.Writer) error {
-				r, err := edit(ctx, c, args[0], func(e catalog.Entry) (catalog.Change, error) {
+	return &cli.Command{
+		Name:      "remove",
+		ArgsUsage: "ID",
+		Usage:     "Takes an endpoint that drains off the list",
+		Flags:     []cli.Flag{boolFlag(&force, "force", "also where it does not drain"), a.servers()},
+		Action: a.action(exactly(1, "the endpoint's id"), func(ctx context.Context, cmd *cli.Command) error {
+			id := cmd.Args().First()
+			return a.withClient(ctx, cmd, func(ctx context.Context, c *client.Client, out io.Writer) error {
+				r, err := edit(ctx, c, id, func(e catalog.Entry) (catalog.Change, error) {
 					if e.State != catalog.Draining && !force {
 						return catalog.Change{}, fmt.Errorf("it is %s: drain it first, so that relays end what they have with it, or remove it with --force", e.State)
 					}
 					return catalog.Change{Entry: catalog.Entry{ID: e.ID}, Remove: true}, nil
 				})
-				return told(out, args[0], "is removed", r, err)
+				return told(out, id, "is removed", r, err)
 			})
-		},
+		}),
 	}
-	c.Flags().BoolVar(&force, "force", false, "also where it does not drain")
-	return c
 }
--- a/cmd/wallflow/main.go
+++ b/cmd/wallflow/main.go
@@ -1,5 +1,5 @@
-// Command wallflow is the product's command for people: it plays trials and, with them, shows what the relays do when
-// something fails around them.
+// Command wallflow is the product's command for people: it runs a small serving system on loopback, gives the operator's orders to one
+// that is in service, and plays trials that show what relays do when something fails around them.
 package main
 
 import (
@@ -14,7 +14,7 @@
 	"strings"
 	"syscall"
 
-	"github.com/spf13/cobra"
+	"github.com/urfave/cli/v3"
 
 	"wallflow/internal/tomlfile"
 	"wallflow/internal/units"
@@ -37,11 +37,8 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
 	defer stop()
 	root := newRoot()
-	root.SetArgs(args)
-	root.SetIn(in)
-	root.SetOut(out)
-	root.SetErr(errOut)
-	err := root.ExecuteContext(ctx)
+	root.Reader, root.Writer, root.ErrWriter = in, out, errOut
+	err := root.Run(ctx, append([]string{root.Name}, args...))
 	switch {
 	case err == nil:
 		return exitHeld
@@ -64,9 +61,10 @@
 		For   units.Duration
 		Dir   string
 	}
-	Serve  serveSettings
-	Agent  agentSettings
-	Server []string // addresses of list servers, for commands that ask them
+	Serve   serveSettings
+	Agent   agentSettings
+	Server  []string // addresses of list servers, for commands that ask them
+	Control []string // addresses of control processes, for commands that ask them
 }
 
 // app is what all subcommands share.
@@ -76,36 +74,38 @@
 	log        *slog.Logger
 }
 
-func newRoot() *cobra.Command {
+func newRoot() *cli.Command {
 	a := &app{}
-	root := &cobra.Command{
-		Use:   "wallflow",
-		Short: "The fleet around the message relay: list servers, and trials of real processes with faults between them",
-		Long: `wallflow is the product's command.
+	root := &cli.Command{
+		Name:  "wallflow",
+		Usage: "The serving system's command for people: a system on loopback, its operator's orders, and trials",
+		Description: described(`wallflow is the product's command.
 
 Exit codes: 0 all held, 1 an invariant broke, 2 wrong use or what was asked for could not be done.`,
-		Example: `  wallflow serve
-  wallflow endpoint list
-  wallflow trial run berth
-  wallflow trial list
-  wallflow version`,
-		SilenceUsage: true, SilenceErrors: true,
-		PersistentPreRunE: func(cmd *cobra.Command, _ []string) error { return a.prepare(cmd) },
-	}
-	f := root.PersistentFlags()
-	f.StringVar(&a.configFile, "config", os.Getenv("WALLFLOW_CONFIG"), "configuration file (TOML); also WALLFLOW_CONFIG")
-	f.StringVar(&a.Log.Format, "log-format", "text", "form of the log: text or json")
-	f.StringVar(&a.Log.Level, "log-level", "info", "least level that is logged: debug, info, warn or error")
-	root.SetFlagErrorFunc(func(cmd *cobra.Command, err error) error {
-		return fmt.Errorf("%w; see `%s --help`", err, cmd.CommandPath())
-	})
-	root.CompletionOptions.HiddenDefaultCmd = true
-	root.AddCommand(newVersion(), newTrial(a), newServe(a), newAgent(a), newEndpoint(a), newSnapshot(a), newPolicy(a))
+			`wallflow up`,
+			`wallflow status --control 10.1.0.13:8166`,
+			`wallflow config check config.json`,
+			`wallflow trial run berth`,
+			`wallflow completion bash`),
+		EnableShellCompletion: true,
+		ExitErrHandler:        func(context.Context, *cli.Command, error) {}, // run tells of errors
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "config", Value: os.Getenv("WALLFLOW_CONFIG"), Destination: &a.configFile, Usage: "configuration file (TOML); also WALLFLOW_CONFIG"},
+			&cli.StringFlag{Name: "log-format", Value: "text", Destination: &a.Log.Format, Usage: "form of the log: text or json"},
+			&cli.StringFlag{Name: "log-level", Value: "info", Destination: &a.Log.Level, Usage: "least level that is logged: debug, info, warn or error"},
+		},
+		Commands: []*cli.Command{
+			newUp(a), newStatus(a), newConfig(a), newEvacuate(a), newRestore(a), newVerify(a),
+			newTrial(a), newServe(a), newAgent(a), newEndpoint(a), newSnapshot(a), newPolicy(a), newVersion(a),
+		},
+		Action: group,
+	}
+	settle(root)
 	return root
 }
 
 // prepare reads the configuration, which flags go before, and sets the log up.
-func (a *app) prepare(cmd *cobra.Command) error {
+func (a *app) prepare(cmd *cli.Command) error {
 	if a.configFile != "" {
 		var file settings
 		if err := tomlfile.Read(a.configFile, &file); err != nil {
@@ -120,9 +120,9 @@
 	o := &slog.HandlerOptions{Level: level}
 	switch a.Log.Format {
 	case "text":
-		a.log = slog.New(slog.NewTextHandler(cmd.ErrOrStderr(), o))
+		a.log = slog.New(slog.NewTextHandler(cmd.Root().ErrWriter, o))
 	case "json":
-		a.log = slog.New(slog.NewJSONHandler(cmd.ErrOrStderr(), o))
+		a.log = slog.New(slog.NewJSONHandler(cmd.Root().ErrWriter, o))
 	default:
 		return fmt.Errorf("log format %q: wanted is text or json", a.Log.Format)
 	}
@@ -130,49 +130,51 @@
 }
 
 // take puts the file's values where no flag was given.
-func (a *app) take(cmd *cobra.Command, file settings) {
+func (a *app) take(cmd *cli.Command, file settings) {
 	for flag, to := range map[string][2]*string{
 		"log-format": {&a.Log.Format, &file.Log.Format}, "log-level": {&a.Log.Level, &file.Log.Level},
 		"name": {&a.Serve.Name, &file.Serve.Name}, "listen": {&a.Serve.Listen, &file.Serve.Listen}, "raft": {&a.Serve.Raft, &file.Serve.Raft},
 		"relay": {&a.Trial.Relay, &file.Trial.Relay}, "load": {&a.Trial.Load, &file.Trial.Load}, "dir": {&a.Trial.Dir, &file.Trial.Dir},
 	} {
-		if *to[1] != "" && !cmd.Flags().Changed(flag) {
+		if *to[1] != "" && !cmd.IsSet(flag) {
 			*to[0] = *to[1]
 		}
 	}
-	if len(file.Server) > 0 && !cmd.Flags().Changed("server") {
+	if len(file.Server) > 0 && !cmd.IsSet("server") {
 		a.Server = file.Server
 	}
+	if len(file.Control) > 0 && !cmd.IsSet("control") {
+		a.Control = file.Control
+	}
 	s := file.Serve // what has no flag is the file's
 	s.Name, s.Listen, s.Raft = a.Serve.Name, a.Serve.Listen, a.Serve.Raft
-	if s.Dir == "" || cmd.Flags().Changed("dir") {
+	if s.Dir == "" || cmd.IsSet("dir") {
 		s.Dir = a.Serve.Dir
 	}
-	if len(s.Join) == 0 || cmd.Flags().Changed("join") {
+	if len(s.Join) == 0 || cmd.IsSet("join") {
 		s.Join = a.Serve.Join
 	}
 	a.Serve = s
 	for flag, to := range map[string][2]*string{"dir": {&a.Agent.Dir, &file.Agent.Dir}, "listen": {&a.Agent.Listen, &file.Agent.Listen},
 		"register": {&a.Agent.Name, &file.Agent.Name}, "zone": {&a.Agent.Zone, &file.Agent.Zone}, "finals": {&a.Agent.Finals, &file.Agent.Finals}, "take-on": {&a.Agent.TakeOn, &file.Agent.TakeOn}} {
-		if *to[1] != "" && !cmd.Flags().Changed(flag) {
+		if *to[1] != "" && !cmd.IsSet(flag) {
 			*to[0] = *to[1]
 		}
 	}
 	a.Agent.Spool, a.Agent.Via = file.Agent.Spool, file.Agent.Via
-	if file.Trial.For.Duration > 0 && !cmd.Flags().Changed("for") {
+	if file.Trial.For.Duration > 0 && !cmd.IsSet("for") {
 		a.Trial.For = file.Trial.For
 	}
 }
 
-func newVersion() *cobra.Command {
-	return &cobra.Command{
-		Use:   "version",
-		Short: "Prints the version of this build",
-		Args:  cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			fmt.Fprintln(cmd.OutOrStdout(), version())
+func newVersion(a *app) *cli.Command {
+	return &cli.Command{
+		Name:  "version",
+		Usage: "Prints the version of this build",
+		Action: a.action(noArguments, func(_ context.Context, cmd *cli.Command) error {
+			fmt.Fprintln(cmd.Root().Writer, version())
 			return nil
-		},
+		}),
 	}
 }
 
--- a/cmd/wallflow/main_test.go
+++ b/cmd/wallflow/main_test.go
@@ -22,7 +22,7 @@
 func TestMain(m *testing.M) {
 	dir, err := os.MkdirTemp("", "wallflow-bin-")
 	if err == nil {
-		build := exec.Command("go", "build", "-buildvcs=false", "-o", dir, "./cmd/wallflow", "./cmd/cherrytrestle")
+		build := exec.Command("go", "build", "-buildvcs=false", "-o", dir, "./cmd/wallflow", "./cmd/cherrytrestle", "./cmd/wallflow-control", "./cmd/wallflow-proxy")
 		build.Dir = "../.."
 		build.Stdout, build.Stderr = os.Stderr, os.Stderr
 		err = build.Run()
--- a/cmd/wallflow/policy.go
+++ b/cmd/wallflow/policy.go
@@ -11,7 +11,7 @@
 	"text/tabwriter"
 	"time"
 
-	"github.com/spf13/cobra"
+	"github.com/urfave/cli/v3"
 
 	"wallflow/internal/accord"
 	"wallflow/internal/listsvc"
@@ -21,56 +21,64 @@
 
 const policyLook = 200 * time.Millisecond
 
-func newPolicy(a *app) *cobra.Command {
-	c := &cobra.Command{
-		Use:   "policy",
-		Short: "Changes the fleet's policy, at all relays or at none",
-		Long: `A policy is one document: what classes of messages may try, customers' shares, the order of routes, how long failing
+func newPolicy(a *app) *cli.Command {
+	return &cli.Command{
+		Name:  "policy",
+		Usage: "Changes the fleet's policy, at all relays or at none",
+		Description: described(`A policy is one document: what classes of messages may try, customers' shares, the order of routes, how long failing
 routes are passed over. It takes hold at every relay at one moment, or at none.`,
-		Example: `  wallflow policy propose peak.toml --wait
-  wallflow policy show
-  wallflow policy drop 7 --why "the wrong file"`,
+			`wallflow policy propose peak.toml --wait`,
+			`wallflow policy show`,
+			`wallflow policy drop 7 --why "the wrong file"`),
+		Commands: []*cli.Command{newPolicyPropose(a), newPolicyShow(a), newPolicyDrop(a)},
+		Action:   group,
 	}
-	c.AddCommand(newPolicyPropose(a), newPolicyShow(a), newPolicyDrop(a))
-	return c
 }
 
-func newPolicyPropose(a *app) *cobra.Command {
+func newPolicyPropose(a *app) *cli.Command {
 	var hold, within time.Duration
 	var wait, asJSON bool
-	c := &cobra.Command{
-		Use:   "propose FILE",
-		Short: "Begins a change to the document in FILE (TOML)",
-		Long: `Begins a change. Every agent has to stage the document, and every relay to say that it can follow it, within --within; then all
+	return &cli.Command{
+		Name:      "propose",
+		ArgsUsage: "FILE",
+		Usage:     "Begins a change to the document in FILE (TOML)",
+		Description: described(`Begins a change. Every agent has to stage the document, and every relay to say that it can follow it, within --within; then all
 promise, and the change is sealed. From its promise on a relay goes on for --hold at most without hearing what came of
 it, and then takes nothing on until it does.
 
 Exit codes: 0 begun, or with --wait sealed; 1 with --wait: dropped; 2 turned down, or not known.`,
-		Example: `  wallflow policy propose peak.toml
-  wallflow policy propose peak.toml --hold 1s --within 30s --wait`,
-		Args: cobra.ExactArgs(1),
-		RunE: func(cmd *cobra.Command, args []string) error {
+			`wallflow policy propose peak.toml`,
+			`wallflow policy propose peak.toml --hold 1s --within 30s --wait`),
+		Flags: []cli.Flag{
+			timeFlag(&hold, "hold", 2*time.Second, "how long a relay goes on after its promise without hearing what came of it"),
+			timeFlag(&within, "within", 10*time.Second, "time in which all have to be ready for it"),
+			boolFlag(&wait, "wait", "wait for what comes of it"),
+			boolFlag(&asJSON, "json", "as JSON"),
+			a.servers(),
+		},
+		Action: a.action(exactly(1, "the document's file"), func(ctx context.Context, cmd *cli.Command) error {
+			file := cmd.Args().First()
 			var doc accord.Document
-			if err := tomlfile.Read(args[0], &doc); err != nil {
+			if err := tomlfile.Read(file, &doc); err != nil {
 				return fmt.Errorf("policy: %w", err)
 			}
 			data, err := doc.Canonical()
 			if err != nil {
-				return fmt.Errorf("policy: %s: %w", args[0], err)
+				return fmt.Errorf("policy: %s: %w", file, err)
 			}
-			ctx, cancel := context.WithTimeout(cmd.Context(), commandFor)
+			asked, cancel := context.WithTimeout(ctx, commandFor)
 			defer cancel()
-			cl := client.New(a.Server...)
+			cl := client.New(given(a.Server)...)
 			defer cl.Close()
-			p, err := cl.Propose(ctx, listsvc.Proposal{Document: data, HoldMS: hold.Milliseconds(), WithinMS: within.Milliseconds()})
+			p, err := cl.Propose(asked, listsvc.Proposal{Document: data, HoldMS: hold.Milliseconds(), WithinMS: within.Milliseconds()})
 			if err != nil {
 				return err
 			}
-			out := cmd.OutOrStdout()
+			out := cmd.Root().Writer
 			if !wait {
 				return show(out, asJSON, p, func() { fmt.Fprintf(out, "change %d (%s) has begun: wallflow policy show\n", p.Number, p.Hash) })
 			}
-			o, err := outcomeOf(cmd.Context(), cl, p.Number, within+hold+commandFor)
+			o, err := outcomeOf(ctx, cl, p.Number, within+hold+commandFor)
 			if err != nil {
 				return err
 			}
@@ -78,15 +86,8 @@
 				return err
 			}
 			return errBroken
-		},
+		}),
 	}
-	f := c.Flags()
-	f.DurationVar(&hold, "hold", 2*time.Second, "how long a relay goes on after its promise without hearing what came of it")
-	f.DurationVar(&within, "within", 10*time.Second, "time in which all have to be ready for it")
-	f.BoolVar(&wait, "wait", false, "wait for what comes of it")
-	f.BoolVar(&asJSON, "json", false, "as JSON")
-	a.servers(c)
-	return c
 }
 
 func show(out io.Writer, asJSON bool, v any, text func()) error {
@@ -126,25 +127,25 @@
 	}
 }
 
-func newPolicyShow(a *app) *cobra.Command {
+func newPolicyShow(a *app) *cli.Command {
 	var asJSON bool
-	c := &cobra.Command{
-		Use:   "show",
-		Short: "Shows the policy in force, the change in flight and whom it waits for, and the sessions",
-		Long: `Shows what the fleet has agreed on.
+	return &cli.Command{
+		Name:  "show",
+		Usage: "Shows the policy in force, the change in flight and whom it waits for, and the sessions",
+		Description: `Shows what the fleet has agreed on.
 
 Exit codes: 0 all follow the policy in force and nothing is in flight; 1 not so; 2 nobody answers.`,
-		Args: cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			ctx, cancel := context.WithTimeout(cmd.Context(), commandFor)
+		Flags: []cli.Flag{boolFlag(&asJSON, "json", "as JSON"), a.servers()},
+		Action: a.action(noArguments, func(ctx context.Context, cmd *cli.Command) error {
+			ctx, cancel := context.WithTimeout(ctx, commandFor)
 			defer cancel()
-			cl := client.New(a.Server...)
+			cl := client.New(given(a.Server)...)
 			defer cl.Close()
 			r, err := cl.Policy(ctx)
 			if err != nil {
 				return err
 			}
-			out := cmd.OutOrStdout()
+			out := cmd.Root().Writer
 			if err := show(out, asJSON, r, func() { policyTable(out, r) }); err != nil {
 				return err
 			}
@@ -157,11 +158,8 @@
 				return errBroken
 			}
 			return nil
-		},
+		}),
 	}
-	c.Flags().BoolVar(&asJSON, "json", false, "as JSON")
-	a.servers(c)
-	return c
 }
 
 func policyTable(out io.Writer, r listsvc.FleetReport) {
@@ -202,30 +200,36 @@
 	}
 }
 
-func newPolicyDrop(a *app) *cobra.Command {
+func newPolicyDrop(a *app) *cli.Command {
 	var why, retire string
-	c := &cobra.Command{
-		Use:   "drop [NUMBER]",
-		Short: "Drops a change that is not sealed, or retires a machine that stands in the way of all",
-		Long: `Drops a change: nobody follows it. With --retire ID it is a session that goes, for good: no change waits for it any more,
+	return &cli.Command{
+		Name:      "drop",
+		ArgsUsage: "[NUMBER]",
+		Usage:     "Drops a change that is not sealed, or retires a machine that stands in the way of all",
+		Description: described(`Drops a change: nobody follows it. With --retire ID it is a session that goes, for good: no change waits for it any more,
 and it is turned away should it come back. Say so only of a machine whose relay does not run: one that does could go on
 under the old policy.`,
-		Example: `  wallflow policy drop 7 --why "the wrong file"
-  wallflow policy drop --retire 1f0c2b7d9a3e4455`,
-		Args: cobra.MaximumNArgs(1),
-		RunE: func(cmd *cobra.Command, args []string) error {
+			`wallflow policy drop 7 --why "the wrong file"`,
+			`wallflow policy drop --retire 1f0c2b7d9a3e4455`),
+		Flags: []cli.Flag{
+			stringFlag(&why, "why", "", "why, for those who ask later"),
+			stringFlag(&retire, "retire", "", "id of a session whose machine is gone for good"),
+			a.servers(),
+		},
+		Action: a.action(atMost(1, "the number of one change"), func(ctx context.Context, cmd *cli.Command) error {
+			args := cmd.Args().Slice()
 			if (len(args) == 1) == (retire != "") {
 				return errors.New("policy drop: the number of a change or --retire with the id of a session, one of the two")
 			}
-			ctx, cancel := context.WithTimeout(cmd.Context(), commandFor)
+			ctx, cancel := context.WithTimeout(ctx, commandFor)
 			defer cancel()
-			cl := client.New(a.Server...)
+			cl := client.New(given(a.Server)...)
 			defer cl.Close()
 			if retire != "" {
 				if err := cl.Retire(ctx, retire); err != nil {
 					return err
 				}
-				fmt.Fprintf(cmd.OutOrStdout(), "%s is retired\n", retire)
+				fmt.Fprintf(cmd.Root().Writer, "%s is retired\n", retire)
 				return nil
 			}
 			var number int64
@@ -235,12 +239,8 @@
 			if err := cl.Drop(ctx, number, why); err != nil {
 				return err
 			}
-			fmt.Fprintf(cmd.OutOrStdout(), "change %d is dropped\n", number)
+			fmt.Fprintf(cmd.Root().Writer, "change %d is dropped\n", number)
 			return nil
-		},
+		}),
 	}
-	c.Flags().StringVar(&why, "why", "", "why, for those who ask later")
-	c.Flags().StringVar(&retire, "retire", "", "id of a session whose machine is gone for good")
-	a.servers(c)
-	return c
 }
--- a/cmd/wallflow/serve.go
+++ b/cmd/wallflow/serve.go
@@ -12,7 +12,7 @@
 	"text/tabwriter"
 	"time"
 
-	"github.com/spf13/cobra"
+	"github.com/urfave/cli/v3"
 
 	"wallflow/internal/listsvc"
 	"wallflow/internal/listsvc/client"
@@ -38,32 +38,29 @@
 	Via           map[string]string // addresses in whose place others are used
 }
 
-func newServe(a *app) *cobra.Command {
-	c := &cobra.Command{
-		Use:   "serve",
-		Short: "Runs a list server: the replicated list of endpoints",
-		Long: `Runs a list server until SIGTERM, which first hands leadership over.
+func newServe(a *app) *cli.Command {
+	return &cli.Command{
+		Name:  "serve",
+		Usage: "Runs a list server: the replicated list of endpoints",
+		Description: described(`Runs a list server until SIGTERM, which first hands leadership over.
 
 With no configuration it is one server on loopback, its state in a folder it names. Three servers differ from it by a
 configuration file alone: each names itself and all of them, and none begins before all have promised themselves to the
 same cluster. A server with an empty folder is taken into a running cluster with --join.`,
-		Example: `  wallflow serve
-  wallflow serve --config l0.toml
-  wallflow serve --name l3 --dir l3 --listen 127.0.0.1:7430 --raft 127.0.0.1:7431 --join 127.0.0.1:7400
-  wallflow serve status --server 127.0.0.1:7400`,
-		Args: cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			return a.serve(cmd.Context())
+			`wallflow serve`,
+			`wallflow serve --config l0.toml`,
+			`wallflow serve --name l3 --dir l3 --listen 127.0.0.1:7430 --raft 127.0.0.1:7431 --join 127.0.0.1:7400`,
+			`wallflow serve status --server 127.0.0.1:7400`),
+		Flags: []cli.Flag{
+			stringFlag(&a.Serve.Name, "name", "l0", "name of the server in its cluster"),
+			stringFlag(&a.Serve.Dir, "dir", "wallflow-state", "folder of its state"),
+			stringFlag(&a.Serve.Listen, "listen", "127.0.0.1:7400", "address of the list"),
+			stringFlag(&a.Serve.Raft, "raft", "127.0.0.1:7401", "address for the other servers"),
+			stringsFlag(&a.Serve.Join, "join", nil, "addresses of a running cluster that is to take this server in"),
 		},
+		Commands: []*cli.Command{newServeStatus(a), newServeRemove(a)},
+		Action:   a.action(noArguments, func(ctx context.Context, _ *cli.Command) error { return a.serve(ctx) }),
 	}
-	f := c.Flags()
-	f.StringVar(&a.Serve.Name, "name", "l0", "name of the server in its cluster")
-	f.StringVar(&a.Serve.Dir, "dir", "wallflow-state", "folder of its state")
-	f.StringVar(&a.Serve.Listen, "listen", "127.0.0.1:7400", "address of the list")
-	f.StringVar(&a.Serve.Raft, "raft", "127.0.0.1:7401", "address for the other servers")
-	f.StringSliceVar(&a.Serve.Join, "join", nil, "addresses of a running cluster that is to take this server in")
-	c.AddCommand(newServeStatus(a), newServeRemove(a))
-	return c
 }
 
 func (a *app) serve(ctx context.Context) error {
@@ -79,29 +76,26 @@
 	return nil
 }
 
-// servers adds the flag that names list servers.
-func (a *app) servers(c *cobra.Command) {
-	c.Flags().StringSliceVar(&a.Server, "server", []string{"127.0.0.1:7400"}, "addresses of list servers")
+// servers is the flag that names list servers.
+func (a *app) servers() cli.Flag {
+	return stringsFlag(&a.Server, "server", []string{"127.0.0.1:7400"}, "addresses of list servers")
 }
 
-func newServeStatus(a *app) *cobra.Command {
+func newServeStatus(a *app) *cli.Command {
 	var asJSON bool
-	c := &cobra.Command{
-		Use:   "status",
-		Short: "Shows the servers of a cluster, as each of them sees it",
-		Long: `Asks the servers that are named, and all that these know of, and shows what each says of itself.
+	return &cli.Command{
+		Name:  "status",
+		Usage: "Shows the servers of a cluster, as each of them sees it",
+		Description: described(`Asks the servers that are named, and all that these know of, and shows what each says of itself.
 
 Exit codes: 0 all answer, one leads and all hold the same list; 1 something is not as it should be; 2 nobody answers.`,
-		Example: `  wallflow serve status
-  wallflow serve status --server 127.0.0.1:7400,127.0.0.1:7410 --json`,
-		Args: cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			return a.serveStatus(cmd.Context(), cmd.OutOrStdout(), asJSON)
-		},
+			`wallflow serve status`,
+			`wallflow serve status --server 127.0.0.1:7400,127.0.0.1:7410 --json`),
+		Flags: []cli.Flag{a.servers(), boolFlag(&asJSON, "json", "as JSON")},
+		Action: a.action(noArguments, func(ctx context.Context, cmd *cli.Command) error {
+			return a.serveStatus(ctx, cmd.Root().Writer, asJSON)
+		}),
 	}
-	a.servers(c)
-	c.Flags().BoolVar(&asJSON, "json", false, "as JSON")
-	return c
 }
 
 // standing is a server in a status.
@@ -114,12 +108,13 @@
 func (a *app) serveStatus(ctx context.Context, out io.Writer, asJSON bool) error {
 	ctx, cancel := context.WithTimeout(ctx, commandFor)
 	defer cancel()
-	c := client.New(a.Server...)
+	servers := given(a.Server)
+	c := client.New(servers...)
 	defer c.Close()
 	var all []standing
 	answered := 0
 	asked, ids := map[string]bool{}, map[string]bool{}
-	for todo := a.Server; len(todo) > 0; todo = todo[1:] {
+	for todo := servers; len(todo) > 0; todo = todo[1:] {
 		addr := todo[0]
 		if asked[addr] {
 			continue
@@ -251,26 +246,26 @@
 	return strings.Join(ids, " ")
 }
 
-func newServeRemove(a *app) *cobra.Command {
-	c := &cobra.Command{
-		Use:   "remove NAME",
-		Short: "Removes a server from its cluster, for good",
-		Long: `Removes a server that will not come back, or whose folder was lost. Its name is free then for a new one with an empty
+func newServeRemove(a *app) *cli.Command {
+	return &cli.Command{
+		Name:      "remove",
+		ArgsUsage: "NAME",
+		Usage:     "Removes a server from its cluster, for good",
+		Description: described(`Removes a server that will not come back, or whose folder was lost. Its name is free then for a new one with an empty
 folder, started with --join. A server that runs under its name need not be removed to be restarted.`,
-		Example: `  wallflow serve remove l2`,
-		Args:    cobra.ExactArgs(1),
-		RunE: func(cmd *cobra.Command, args []string) error {
-			ctx, cancel := context.WithTimeout(cmd.Context(), commandFor)
+			`wallflow serve remove l2`),
+		Flags: []cli.Flag{a.servers()},
+		Action: a.action(exactly(1, "the server's name"), func(ctx context.Context, cmd *cli.Command) error {
+			name := cmd.Args().First()
+			ctx, cancel := context.WithTimeout(ctx, commandFor)
 			defer cancel()
-			c := client.New(a.Server...)
+			c := client.New(given(a.Server)...)
 			defer c.Close()
-			if _, err := c.Do(ctx, http.MethodDelete, "/cluster/servers/"+url.PathEscape(args[0]), nil, nil); err != nil {
+			if _, err := c.Do(ctx, http.MethodDelete, "/cluster/servers/"+url.PathEscape(name), nil, nil); err != nil {
 				return err
 			}
-			fmt.Fprintf(cmd.OutOrStdout(), "%s is removed\n", args[0])
+			fmt.Fprintf(cmd.Root().Writer, "%s is removed\n", name)
 			return nil
-		},
+		}),
 	}
-	a.servers(c)
-	return c
 }
--- a/cmd/wallflow/snapshot.go
+++ b/cmd/wallflow/snapshot.go
@@ -12,32 +12,35 @@
 	"os"
 	"path/filepath"
 
-	"github.com/spf13/cobra"
+	"github.com/urfave/cli/v3"
 
 	"wallflow/internal/catalog"
 	"wallflow/internal/listsvc"
 	"wallflow/internal/listsvc/client"
 )
 
-func newSnapshot(a *app) *cobra.Command {
-	c := &cobra.Command{
-		Use:   "snapshot",
-		Short: "Saves, inspects and restores backups of the list",
-		Example: `  wallflow snapshot save list.backup
-  wallflow snapshot inspect list.backup
-  wallflow snapshot restore list.backup --replace 5f0c9a1be2d34477`,
+func newSnapshot(a *app) *cli.Command {
+	return &cli.Command{
+		Name:  "snapshot",
+		Usage: "Saves, inspects and restores backups of the list",
+		Description: described("",
+			`wallflow snapshot save list.backup`,
+			`wallflow snapshot inspect list.backup`,
+			`wallflow snapshot restore list.backup --replace 5f0c9a1be2d34477`),
+		Commands: []*cli.Command{newSnapshotSave(a), newSnapshotInspect(a), newSnapshotRestore(a)},
+		Action:   group,
 	}
-	c.AddCommand(newSnapshotSave(a), newSnapshotInspect(), newSnapshotRestore(a))
-	return c
 }
 
-func newSnapshotSave(a *app) *cobra.Command {
-	c := &cobra.Command{
-		Use:   "save FILE",
-		Short: "Writes the list, with all that was acknowledged before, to a file",
-		Args:  cobra.ExactArgs(1),
-		RunE: func(cmd *cobra.Command, args []string) error {
-			return a.withClient(cmd, func(ctx context.Context, c *client.Client, out io.Writer) error {
+func newSnapshotSave(a *app) *cli.Command {
+	return &cli.Command{
+		Name:      "save",
+		ArgsUsage: "FILE",
+		Usage:     "Writes the list, with all that was acknowledged before, to a file",
+		Flags:     []cli.Flag{a.servers()},
+		Action: a.action(exactly(1, "the backup's file"), func(ctx context.Context, cmd *cli.Command) error {
+			file := cmd.Args().First()
+			return a.withClient(ctx, cmd, func(ctx context.Context, c *client.Client, out io.Writer) error {
 				got, err := c.Do(ctx, http.MethodGet, "/cluster/snapshot", nil, nil)
 				if err != nil {
 					return err
@@ -46,16 +49,14 @@
 				if err != nil {
 					return err
 				}
-				if err := writeWhole(args[0], got.Body); err != nil {
+				if err := writeWhole(file, got.Body); err != nil {
 					return err
 				}
-				fmt.Fprintf(out, "%s: %s\n", args[0], describe(s))
+				fmt.Fprintf(out, "%s: %s\n", file, describe(s))
 				return nil
 			})
-		},
+		}),
 	}
-	a.servers(c)
-	return c
 }
 
 // writeWhole puts a file there whole or not at all.
@@ -79,14 +80,16 @@
 	return fmt.Sprintf("version %d of list %s, %d entries, changes kept since version %d", s.Version, s.Cluster, len(s.Entries), s.Floor)
 }
 
-func newSnapshotInspect() *cobra.Command {
+func newSnapshotInspect(a *app) *cli.Command {
 	var asJSON bool
-	c := &cobra.Command{
-		Use:   "inspect FILE",
-		Short: "Checks a backup and says what is in it",
-		Args:  cobra.ExactArgs(1),
-		RunE: func(cmd *cobra.Command, args []string) error {
-			s, err := readBackup(args[0])
+	return &cli.Command{
+		Name:      "inspect",
+		ArgsUsage: "FILE",
+		Usage:     "Checks a backup and says what is in it",
+		Flags:     []cli.Flag{boolFlag(&asJSON, "json", "as JSON, with the entries")},
+		Action: a.action(exactly(1, "the backup's file"), func(_ context.Context, cmd *cli.Command) error {
+			file := cmd.Args().First()
+			s, err := readBackup(file)
 			if err != nil {
 				return err
 			}
@@ -95,18 +98,16 @@
 				states[e.State]++
 				cells[e.Cell]++
 			}
-			out := cmd.OutOrStdout()
+			out := cmd.Root().Writer
 			if asJSON {
 				e := json.NewEncoder(out)
 				e.SetIndent("", "  ")
 				return e.Encode(map[string]any{"list": s.Cluster, "version": s.Version, "floor": s.Floor, "entries": s.Entries, "states": states})
 			}
-			fmt.Fprintf(out, "%s: sound\n%s\n%d partners, %d ready, %d draining\n", args[0], describe(s), len(cells), states[catalog.Ready], states[catalog.Draining])
+			fmt.Fprintf(out, "%s: sound\n%s\n%d partners, %d ready, %d draining\n", file, describe(s), len(cells), states[catalog.Ready], states[catalog.Draining])
 			return nil
-		},
+		}),
 	}
-	c.Flags().BoolVar(&asJSON, "json", false, "as JSON, with the entries")
-	return c
 }
 
 func readBackup(path string) (catalog.Snapshot, error) {
@@ -122,25 +123,27 @@
 	return s, nil
 }
 
-func newSnapshotRestore(a *app) *cobra.Command {
+func newSnapshotRestore(a *app) *cli.Command {
 	var replace string
-	c := &cobra.Command{
-		Use:   "restore FILE",
-		Short: "Puts a backup in the place of the cluster's list",
-		Long: `Puts a backup in the place of the list that a cluster has. The list that goes has to be named (--replace, as serve status and
+	return &cli.Command{
+		Name:      "restore",
+		ArgsUsage: "FILE",
+		Usage:     "Puts a backup in the place of the cluster's list",
+		Description: `Puts a backup in the place of the list that a cluster has. The list that goes has to be named (--replace, as serve status and
 endpoint list show it): a backup that went to the wrong cluster would take away endpoints that are there.
 
 The restored list has an id of its own and a version above all earlier ones, so that whoever followed the old one gets it whole.`,
-		Args: cobra.ExactArgs(1),
-		RunE: func(cmd *cobra.Command, args []string) error {
-			if _, err := readBackup(args[0]); err != nil {
+		Flags: []cli.Flag{a.servers(), required(stringFlag(&replace, "replace", "", "id of the list that goes"))},
+		Action: a.action(exactly(1, "the backup's file"), func(ctx context.Context, cmd *cli.Command) error {
+			file := cmd.Args().First()
+			if _, err := readBackup(file); err != nil {
 				return err
 			}
-			data, err := os.ReadFile(args[0])
+			data, err := os.ReadFile(file)
 			if err != nil {
 				return err
 			}
-			return a.withClient(cmd, func(ctx context.Context, c *client.Client, out io.Writer) error {
+			return a.withClient(ctx, cmd, func(ctx context.Context, c *client.Client, out io.Writer) error {
 				got, err := c.Do(ctx, http.MethodPut, "/cluster/snapshot?replace="+url.QueryEscape(replace), nil, data)
 				if err != nil {
 					return err
@@ -152,12 +155,6 @@
 				fmt.Fprintf(out, "restored: version %d of list %s, %d entries\n", r.Version, got.Header.Get("X-Catalog-Cluster"), r.Changed)
 				return nil
 			})
-		},
+		}),
 	}
-	a.servers(c)
-	c.Flags().StringVar(&replace, "replace", "", "id of the list that goes")
-	if err := c.MarkFlagRequired("replace"); err != nil {
-		panic(err) // a slip of the pen above
-	}
-	return c
 }
--- a/cmd/wallflow/trial.go
+++ b/cmd/wallflow/trial.go
@@ -14,7 +14,7 @@
 	"strings"
 	"time"
 
-	"github.com/spf13/cobra"
+	"github.com/urfave/cli/v3"
 
 	"wallflow/internal/trial"
 	"wallflow/internal/trial/check"
@@ -41,30 +41,27 @@
 	quiet    bool
 }
 
-func newTrial(a *app) *cobra.Command {
-	cmd := &cobra.Command{
-		Use:   "trial",
-		Short: "Plays relays under faults, and judges what came of it",
-		Long: `A trial starts real relays on loopback addresses, with stand-ins for clients, partners and discovery around them, does to
+func newTrial(a *app) *cli.Command {
+	return &cli.Command{
+		Name:  "trial",
+		Usage: "Plays relays under faults, and judges what came of it",
+		Description: described(`A trial starts real relays on loopback addresses, with stand-ins for clients, partners and discovery around them, does to
 them what a plan says, and judges the history by the invariants of the fleet.
 
 Its last line is its verdict: held, broken, or not played. A trial that this machine was too slow for is not played.`,
-		Example: `  wallflow trial list
-  wallflow trial run berth`,
-		Args: subcommand,
-		RunE: func(cmd *cobra.Command, _ []string) error { return cmd.Help() },
+			`wallflow trial list`,
+			`wallflow trial run berth`),
+		Commands: []*cli.Command{newTrialList(a), newTrialRun(a), newTrialSweep(a), newTrialCheck(a), newTrialKeeper(a)},
+		Action:   group,
 	}
-	cmd.AddCommand(newTrialList(), newTrialRun(a), newTrialSweep(a), newTrialCheck(), newTrialKeeper())
-	return cmd
 }
 
-func newTrialList() *cobra.Command {
-	return &cobra.Command{
-		Use:   "list",
-		Short: "Lists scenarios, loads, invariants, and what steps of a plan can do",
-		Args:  cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			out := cmd.OutOrStdout()
+func newTrialList(a *app) *cli.Command {
+	return &cli.Command{
+		Name:  "list",
+		Usage: "Lists scenarios, loads, invariants, and what steps of a plan can do",
+		Action: a.action(noArguments, func(_ context.Context, cmd *cli.Command) error {
+			out := cmd.Root().Writer
 			fmt.Fprintln(out, "scenarios")
 			for _, s := range trial.Scenarios() {
 				fmt.Fprintf(out, "  %-16s %s\n", s.Name, s.About)
@@ -86,41 +83,19 @@
 				fmt.Fprintf(out, "  %s\n", line)
 			}
 			return nil
-		},
+		}),
 	}
 }
 
 // shared are the flags of run and sweep.
-func (a *app) shared(cmd *cobra.Command, o *trialFlags) {
-	f := cmd.Flags()
-	f.Uint64Var(&o.seed, "seed", 1, "what is left to chance is drawn from it; for a sweep, the first one")
-	f.StringVar(&a.Trial.Load, "load", "berth", "one of the shipped loads (see `wallflow trial list`) or a TOML file")
-	a.Trial.For.Duration = 20 * time.Second
-	f.Var(durationFlag{&a.Trial.For.Duration}, "for", "how long the load goes on")
-	f.StringVar(&a.Trial.Relay, "relay", "", "the relay's program (default: cherrytrestle beside this one)")
-	f.StringVar(&o.jsonFile, "json", "", "write the result to this file as JSON")
-}
-
-// durationFlag says what is wrong with a time in the program's own words.
-type durationFlag struct{ d *time.Duration }
-
-func (f durationFlag) String() string {
-	if f.d == nil {
-		return ""
-	}
-	return f.d.String()
-}
-func (f durationFlag) Type() string { return "time" }
-func (f durationFlag) Set(text string) error {
-	d, err := time.ParseDuration(text)
-	if err != nil {
-		return fmt.Errorf("%q is no time: write a figure with a unit, such as 10s", text)
+func (a *app) shared(o *trialFlags) []cli.Flag {
+	return []cli.Flag{
+		uint64Flag(&o.seed, "seed", 1, "what is left to chance is drawn from it; for a sweep, the first one"),
+		stringFlag(&a.Trial.Load, "load", "berth", "one of the shipped loads (see: wallflow trial list) or a TOML file"),
+		loadTimeFlag(&a.Trial.For.Duration, "for", 20*time.Second, "how long the load goes on"),
+		stringFlag(&a.Trial.Relay, "relay", "", "the relay's program (default: cherrytrestle beside this one)"),
+		stringFlag(&o.jsonFile, "json", "", "write the result to this file as JSON"),
 	}
-	if d < forLeast || d > forMost {
-		return fmt.Errorf("%v: wanted is %v to %v", d, forLeast, forMost)
-	}
-	*f.d = d
-	return nil
 }
 
 // options are those of one trial, checked.
@@ -150,18 +125,24 @@
 		Keeper: func() *exec.Cmd { return exec.Command(self, "trial", "keeper") }}, nil
 }
 
-func newTrialRun(a *app) *cobra.Command {
+func newTrialRun(a *app) *cli.Command {
 	o := &trialFlags{}
-	cmd := &cobra.Command{
-		Use:   "run SCENARIO",
-		Short: "Plays one trial and reports it",
-		Example: `  wallflow trial run berth
-  wallflow trial run relay-kill --seed 7 --load small --for 10s
-  wallflow trial run take-over --dir /tmp/t --html /tmp/t/report.html --json /tmp/t/report.json
-  wallflow trial run relay-kill --plan /tmp/t/plan.toml`,
-		Args: exactly(1, "the scenario's name"),
-		RunE: func(cmd *cobra.Command, args []string) error {
-			sc, err := trial.Find(args[0])
+	return &cli.Command{
+		Name:      "run",
+		ArgsUsage: "SCENARIO",
+		Usage:     "Plays one trial and reports it",
+		Description: described("",
+			`wallflow trial run berth`,
+			`wallflow trial run relay-kill --seed 7 --load small --for 10s`,
+			`wallflow trial run take-over --dir /tmp/t --html /tmp/t/report.html --json /tmp/t/report.json`,
+			`wallflow trial run relay-kill --plan /tmp/t/plan.toml`),
+		Flags: append(a.shared(o),
+			stringFlag(&a.Trial.Dir, "dir", "", "keep folders, logs, plan and history there (default: a folder that is removed)"),
+			stringFlag(&o.plan, "plan", "", "play the steps of this file in place of the scenario's own"),
+			stringFlag(&o.htmlFile, "html", "", "write a report with plots to this file"),
+			boolFlag(&o.quiet, "quiet", "print the verdict alone")),
+		Action: a.action(exactly(1, "the scenario's name"), func(ctx context.Context, cmd *cli.Command) error {
+			sc, err := trial.Find(cmd.Args().First())
 			if err != nil {
 				return err
 			}
@@ -185,39 +166,14 @@
 					return err
 				}
 			}
-			out := cmd.OutOrStdout()
+			out := cmd.Root().Writer
 			if !o.quiet {
 				fmt.Fprintf(out, "%s, load %s (%s), seed %d, %v\n", sc.Name, opts.Load.Name, opts.Load.About, opts.Seed, opts.For)
 				opts.Progress = func(p trial.Progress) { progress(out, p) }
 			}
-			res, err := trial.Run(cmd.Context(), sc, opts)
-			return a.tell(cmd.Context(), out, res, err, o)
-		},
-	}
-	a.shared(cmd, o)
-	f := cmd.Flags()
-	f.StringVar(&a.Trial.Dir, "dir", "", "keep folders, logs, plan and history there (default: a folder that is removed)")
-	f.StringVar(&o.plan, "plan", "", "play the steps of this file in place of the scenario's own")
-	f.StringVar(&o.htmlFile, "html", "", "write a report with plots to this file")
-	f.BoolVar(&o.quiet, "quiet", false, "print the verdict alone")
-	return cmd
-}
-
-// subcommand turns down what is no subcommand: the library would print the help, as if that had been asked for.
-func subcommand(cmd *cobra.Command, args []string) error {
-	if len(args) > 0 {
-		return fmt.Errorf("%s: %q is no command of it; see %s --help", cmd.CommandPath(), args[0], cmd.CommandPath())
-	}
-	return nil
-}
-
-// exactly is cobra's check with words that say what is missing.
-func exactly(n int, what string) cobra.PositionalArgs {
-	return func(cmd *cobra.Command, args []string) error {
-		if len(args) != n {
-			return fmt.Errorf("%s wants %s, and %d arguments were given; see `%s --help`", cmd.CommandPath(), what, len(args), cmd.CommandPath())
-		}
-		return nil
+			res, err := trial.Run(ctx, sc, opts)
+			return a.tell(ctx, out, res, err, o)
+		}),
 	}
 }
 
@@ -351,16 +307,18 @@
 	return errors.Join(report.HTML(f, title, &r.Figures, r.Checked.Violations), f.Close())
 }
 
-func newTrialSweep(a *app) *cobra.Command {
+func newTrialSweep(a *app) *cli.Command {
 	o := &trialFlags{}
-	cmd := &cobra.Command{
-		Use:   "sweep SCENARIO",
-		Short: "Plays a scenario on many seeds: a line each, and a summary",
-		Example: `  wallflow trial sweep relay-kill --seeds 20 --load small --for 10s
-  wallflow trial sweep mass-kill --seed 100 --seeds 5 --json sweep.json`,
-		Args: exactly(1, "the scenario's name"),
-		RunE: func(cmd *cobra.Command, args []string) error {
-			sc, err := trial.Find(args[0])
+	return &cli.Command{
+		Name:      "sweep",
+		ArgsUsage: "SCENARIO",
+		Usage:     "Plays a scenario on many seeds: a line each, and a summary",
+		Description: described("",
+			`wallflow trial sweep relay-kill --seeds 20 --load small --for 10s`,
+			`wallflow trial sweep mass-kill --seed 100 --seeds 5 --json sweep.json`),
+		Flags: append(a.shared(o), intFlag(&o.seeds, "seeds", 20, "how many, one after the other")),
+		Action: a.action(exactly(1, "the scenario's name"), func(ctx context.Context, cmd *cli.Command) error {
+			sc, err := trial.Find(cmd.Args().First())
 			if err != nil {
 				return err
 			}
@@ -370,16 +328,12 @@
 			if err := writable(o.jsonFile); err != nil {
 				return err
 			}
-			return a.sweep(cmd, sc, o)
-		},
+			return a.sweep(ctx, cmd.Root().Writer, sc, o)
+		}),
 	}
-	a.shared(cmd, o)
-	cmd.Flags().IntVar(&o.seeds, "seeds", 20, "how many, one after the other")
-	return cmd
 }
 
-func (a *app) sweep(cmd *cobra.Command, sc *trial.Scenario, o *trialFlags) error {
-	out := cmd.OutOrStdout()
+func (a *app) sweep(ctx context.Context, out io.Writer, sc *trial.Scenario, o *trialFlags) error {
 	count := map[string]int{}
 	var all []result
 	for i := range o.seeds {
@@ -387,8 +341,8 @@
 		if err != nil {
 			return err
 		}
-		res, err := trial.Run(cmd.Context(), sc, opts)
-		if cmd.Context().Err() != nil {
+		res, err := trial.Run(ctx, sc, opts)
+		if ctx.Err() != nil {
 			return errors.New("verdict: not played: interrupted; all that was started has been ended")
 		}
 		r := a.result(res, err)
@@ -424,23 +378,24 @@
 	return nil
 }
 
-func newTrialCheck() *cobra.Command {
-	return &cobra.Command{
-		Use:     "check HISTORY",
-		Short:   "Judges a history that a trial left, again",
-		Example: "  wallflow trial check /tmp/t/history.jsonl",
-		Args:    exactly(1, "the history's file"),
-		RunE: func(cmd *cobra.Command, args []string) error {
-			f, err := os.Open(args[0])
+func newTrialCheck(a *app) *cli.Command {
+	return &cli.Command{
+		Name:        "check",
+		ArgsUsage:   "HISTORY",
+		Usage:       "Judges a history that a trial left, again",
+		Description: described("", `wallflow trial check /tmp/t/history.jsonl`),
+		Action: a.action(exactly(1, "the history's file"), func(_ context.Context, cmd *cli.Command) error {
+			file := cmd.Args().First()
+			f, err := os.Open(file)
 			if err != nil {
 				return err
 			}
 			defer f.Close()
-			h, events, err := history.Read(args[0], f)
+			h, events, err := history.Read(file, f)
 			if err != nil {
 				return err
 			}
-			out := cmd.OutOrStdout()
+			out := cmd.Root().Writer
 			v := check.Check(h.Rules, events)
 			fmt.Fprintf(out, "%s, load %s, seed %d: %d events\n", h.Scenario, h.Load, h.Seed, len(events))
 			tellJudged(out, &v)
@@ -458,16 +413,15 @@
 			}
 			fmt.Fprintf(out, "verdict: broken (%d breaches)\n", len(v.Violations))
 			return errBroken
-		},
+		}),
 	}
 }
 
 // newTrialKeeper is the process that ends what a trial leaves behind; trials start it themselves.
-func newTrialKeeper() *cobra.Command {
-	return &cobra.Command{
-		Use:    "keeper",
+func newTrialKeeper(a *app) *cli.Command {
+	return &cli.Command{
+		Name:   "keeper",
 		Hidden: true,
-		Args:   cobra.NoArgs,
-		RunE:   func(cmd *cobra.Command, _ []string) error { return proc.Keep(cmd.InOrStdin()) },
+		Action: a.action(noArguments, func(_ context.Context, cmd *cli.Command) error { return proc.Keep(cmd.Root().Reader) }),
 	}
 }
--- /dev/null
+++ b/internal/emulator/options.go
@@ -0,0 +1,52 @@
+package emulator
+
+import "time"
+
+// EngineOptions describe an engine. Zero values stand for those of DefaultEngine.
+type EngineOptions struct {
+	Slots          int           // jobs that run at once
+	Queue          int           // jobs that wait beyond those
+	KVCapacity     int           // tokens in memory
+	Step           time.Duration // the least time of one step, in which each running job gets a token
+	StepPerJob     time.Duration // more for each running job
+	PrefillPerMs   float64       // prompt tokens that are read in a millisecond
+	ChunkTokens    int           // prompt tokens that are read in one step at most
+	TokensPerEvent int
+}
+
+// The figures of the engines that the system is built for.
+const (
+	defaultSlots          = 64
+	defaultQueue          = 64
+	defaultKVCapacity     = 316_082
+	defaultStep           = 4630 * time.Microsecond
+	defaultStepPerJob     = 153 * time.Microsecond
+	defaultPrefillPerMs   = 37.9
+	defaultChunkTokens    = 512
+	defaultTokensPerEvent = 5
+)
+
+// DefaultEngine describes the engines that the system is built for.
+func DefaultEngine() EngineOptions {
+	return EngineOptions{}.withDefaults()
+}
+
+func (o EngineOptions) withDefaults() EngineOptions {
+	setDefault(&o.Slots, defaultSlots)
+	setDefault(&o.Queue, defaultQueue)
+	setDefault(&o.KVCapacity, defaultKVCapacity)
+	setDefault(&o.Step, defaultStep)
+	setDefault(&o.StepPerJob, defaultStepPerJob)
+	setDefault(&o.PrefillPerMs, defaultPrefillPerMs)
+	setDefault(&o.ChunkTokens, defaultChunkTokens)
+	setDefault(&o.TokensPerEvent, defaultTokensPerEvent)
+	return o
+}
+
+// setDefault puts a value where none was given.
+func setDefault[T comparable](field *T, value T) {
+	var none T
+	if *field == none {
+		*field = value
+	}
+}
