Give each listing that is asked for a number of its own

Cause: a relay that met an instance through its former source while the new source's listing was under way marked it as listed by the new one, and every later listing kept its number, so that an endpoint that was gone stayed ready for ever (a walk test found it, one of some hundred walks; the failing draw passes now). Test: TestInstanceThatCrossedWithAListingIsDropped.

--- a/internal/distribution/seek_test.go
+++ b/internal/distribution/seek_test.go
@@ -91,3 +91,15 @@
 	assert.Equal(t, relay.Source(), "c1")
 	assert.Assert(t, relay.Fresh(w.now))
 }
+
+// TestInstanceThatCrossedWithAListingIsDropped has a relay learn of an instance from its former source while the answer of the new
+// one, which does not know it, is under way: the bucket that was the same when the relay asked is not the same any more.
+func TestInstanceThatCrossedWithAListingIsDropped(t *testing.T) {
+	w, relay := calmWorld()
+	var output Output
+	relay.applyInstance(w.now, instanceOf("9", ready, 1), true, &output)
+	assert.Equal(t, stateAt(relay, "9"), ready)
+	w.run(15 * time.Second)
+	assert.Equal(t, stateAt(relay, "9"), gone)
+	assert.Equal(t, stateAt(relay, "1"), ready)
+}
--- a/internal/distribution/subscriber.go
+++ b/internal/distribution/subscriber.go
@@ -230,6 +230,7 @@
 		sender.differsSince = time.Time{}
 		sender.placed = false
 		sender.gap = true
+		s.listing++ // what the new listing lacks is dropped
 	}
 }
 
