--- a/internal/accord/model_test.go
+++ b/internal/accord/model_test.go
@@ -375,11 +375,14 @@
 		{"one relay runs", 0, 3, false, 400_000},
 		{"one relay runs, and one process is killed", 1, 2, false, 400_000},
 	} {
-		states, whole, wrong := explore(begin(c.kills, c.ticks, 1, true, c.second2), mistakes{}, c.most)
-		t.Logf("%s, %d s: %d states, all of them %v", c.about, c.ticks, states, whole)
-		if wrong != "" || !whole {
-			t.Errorf("%s: %s; all states seen: %v", c.about, wrong, whole)
-		}
+		t.Run(c.about, func(t *testing.T) {
+			t.Parallel()
+			states, whole, wrong := explore(begin(c.kills, c.ticks, 1, true, c.second2), mistakes{}, c.most)
+			t.Logf("%s, %d s: %d states, all of them %v", c.about, c.ticks, states, whole)
+			if wrong != "" || !whole {
+				t.Errorf("%s: %s; all states seen: %v", c.about, wrong, whole)
+			}
+		})
 	}
 }
 
@@ -390,11 +393,17 @@
 
 // Longer ways than can all be gone, drawn: words that are late too, two kills, two changes' time.
 func TestDrawnOrdersOfAChange(t *testing.T) {
-	for seed := range uint64(walks) {
-		rng := rand.New(rand.NewPCG(seed, 1))
-		if wrong := walk(begin(2, 6, 2, false, seed%4 != 0), mistakes{}, rng, walkSteps); wrong != "" {
-			t.Fatalf("seed %d: %s", seed, wrong)
-		}
+	const parts = 8
+	for part := range uint64(parts) {
+		t.Run(fmt.Sprintf("part %d", part), func(t *testing.T) {
+			t.Parallel()
+			for seed := part; seed < walks; seed += parts {
+				rng := rand.New(rand.NewPCG(seed, 1))
+				if wrong := walk(begin(2, 6, 2, false, seed%4 != 0), mistakes{}, rng, walkSteps); wrong != "" {
+					t.Fatalf("seed %d: %s", seed, wrong)
+				}
+			}
+		})
 	}
 }
 
@@ -441,6 +450,7 @@
 		"a relay counts from its answer":     {mistakes{stopsLate: true}, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			// The nearest states, and where that is not far enough ways that are drawn.
 			states, _, wrong := explore(armed(c.kills), c.m, 30_000)
 			first := armed(c.kills)
--- a/internal/chain/mistakes_test.go
+++ b/internal/chain/mistakes_test.go
@@ -1,6 +1,7 @@
 package chain
 
 import (
+	"fmt"
 	"testing"
 	"time"
 )
@@ -153,6 +154,7 @@
 	}
 	for _, each := range cases {
 		t.Run(each.name, func(t *testing.T) {
+			t.Parallel()
 			const walks = 60
 			for seed := range int64(walks) {
 				if broken := each.scenario.run(t, seed, each.planted, each.keepsName); len(broken) > 0 {
@@ -167,11 +169,14 @@
 
 // The same scenarios find nothing where no mistake is planted.
 func TestNothingIsFoundWithoutMistakes(t *testing.T) {
-	for _, each := range []scenario{anything, voteLost, headDeposed, learnersCutOff, membersCutOff} {
-		for seed := range int64(12) {
-			if broken := each.run(t, seed, mistakes{}, false); len(broken) > 0 {
-				t.Errorf("walk %d: %v", seed, broken)
+	for index, each := range []scenario{anything, voteLost, headDeposed, learnersCutOff, membersCutOff} {
+		t.Run(fmt.Sprint(index), func(t *testing.T) {
+			t.Parallel()
+			for seed := range int64(12) {
+				if broken := each.run(t, seed, mistakes{}, false); len(broken) > 0 {
+					t.Errorf("walk %d: %v", seed, broken)
+				}
 			}
-		}
+		})
 	}
 }
--- a/internal/openings/fleet_test.go
+++ b/internal/openings/fleet_test.go
@@ -209,6 +209,7 @@
 	sizes = slices.DeleteFunc(sizes, func(size struct{ regions, zones, each, seeds int }) bool { return size.seeds == 0 })
 	for _, size := range sizes {
 		t.Run(fmt.Sprint(size.regions*size.zones*size.each), func(t *testing.T) {
+			t.Parallel()
 			all := &result{during: map[string]*quality{}, recovered: map[string]*quality{}}
 			for seed := range size.seeds {
 				w := newWorld(t, size.regions, size.zones, size.each, uint64(seed), noMistake)
--- a/internal/swim/node_test.go
+++ b/internal/swim/node_test.go
@@ -1,6 +1,7 @@
 package swim
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -80,7 +81,10 @@
 func TestRegionCutIsNoticedAndHeals(t *testing.T) {
 	for _, members := range []int{11, 30} {
 		for seed := range uint64(10) {
-			cutOffAndHeal(t, seed, members)
+			t.Run(fmt.Sprintf("%d members, seed %d", members, seed), func(t *testing.T) {
+				t.Parallel()
+				cutOffAndHeal(t, seed, members)
+			})
 		}
 	}
 }
--- a/internal/swim/scale_test.go
+++ b/internal/swim/scale_test.go
@@ -8,6 +8,7 @@
 )
 
 func TestLargeFleetJoins(t *testing.T) {
+	t.Parallel()
 	n := fleet(t, 1, 300)
 	took, ok := n.runUntil(15*time.Second, n.complete)
 	assert.Assert(t, ok)
@@ -15,6 +16,7 @@
 }
 
 func TestLargeFleetNoticesDeathsAndLosesNobodyElse(t *testing.T) {
+	t.Parallel()
 	n := settled(t, 2, 300)
 	victim := n.all[17]
 	n.kill(victim)
@@ -25,6 +27,7 @@
 }
 
 func TestLargeFleetLosesARegion(t *testing.T) {
+	t.Parallel()
 	n := settled(t, 3, 300)
 	for _, lost := range n.inRegion("takoradi") {
 		n.kill(lost)
@@ -36,6 +39,7 @@
 }
 
 func TestLargeFleetHeals(t *testing.T) {
+	t.Parallel()
 	n := settled(t, 4, 150)
 	n.blocked = func(from, to *machine) bool {
 		return (from.self.Meta.Region == "kumasi") != (to.self.Meta.Region == "kumasi")
@@ -48,6 +52,7 @@
 }
 
 func TestCalmFleetIsCheap(t *testing.T) {
+	t.Parallel()
 	for _, members := range []int{11, 300} {
 		n := settled(t, 5, members)
 		n.run(10 * time.Second)
--- a/internal/swim/trouble_test.go
+++ b/internal/swim/trouble_test.go
@@ -49,22 +49,25 @@
 // TestTroublesByChance plays kills, restarts, freezes, cuts and loss by chance; once it is calm all must agree again.
 func TestTroublesByChance(t *testing.T) {
 	for seed := range uint64(15) {
-		n := settled(t, seed, 15)
-		for range 25 {
-			n.trouble()
-			n.run(time.Duration(n.random.Int64N(int64(3 * time.Second))))
-		}
-		n.loss = 0.01
-		n.blocked = func(_, _ *machine) bool { return false }
-		for _, each := range n.all {
-			if each.node == nil {
-				n.start(each)
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			n := settled(t, seed, 15)
+			for range 25 {
+				n.trouble()
+				n.run(time.Duration(n.random.Int64N(int64(3 * time.Second))))
 			}
-		}
-		n.run(3 * time.Second) // freezes end
-		took, ok := n.runUntil(10*time.Second, n.complete)
-		assert.Assert(t, ok, "seed %d", seed)
-		t.Logf("seed %d: agreed after %v", seed, took)
+			n.loss = 0.01
+			n.blocked = func(_, _ *machine) bool { return false }
+			for _, each := range n.all {
+				if each.node == nil {
+					n.start(each)
+				}
+			}
+			n.run(3 * time.Second) // freezes end
+			took, ok := n.runUntil(10*time.Second, n.complete)
+			assert.Assert(t, ok, "seed %d", seed)
+			t.Logf("seed %d: agreed after %v", seed, took)
+		})
 	}
 }
 
--- a/policy/fleet_test.go
+++ b/policy/fleet_test.go
@@ -230,45 +230,53 @@
 
 func TestFleetKeepsTheRecoveryBudget(t *testing.T) {
 	for _, senders := range []int{2, 3, 20, 30, 80, 300, 400, 700} {
-		var most fleetWindow // of all plays of this size, against its bound
-		for _, c := range []fleetCase{
-			{senders, 30, 0.9, 1, true, false, 0, siteA},
-			{senders, 30, 0.9, 1, false, true, 0, siteA},
-			{senders, 30, 0.9, 1, false, false, 0, siteA},
-			{senders, 30, 2, 1, true, false, 0, siteA},
-			{senders, 30, 2, 1, false, true, 0, siteA},
-			{senders, 30, 0.9, 0.8, false, true, 0, siteA},
-			{senders, 30, 2, 0.8, false, true, 0, siteA},
-			{senders, 3, 0.9, 1, false, true, 0, siteA},
-			{senders, 3, 2, 0.8, true, false, 0, siteA},
-			{senders, 3, 2, 1, false, false, 0, siteA},
-			{senders, 30, 2, 1, true, false, 0.4, siteA},
-			{senders, 30, 2, 1, false, true, 1, siteA},
-			{senders, 30, 0.9, 1, true, false, 1, siteB},
-			{senders, 30, 2, 1, true, true, 0.7, siteB},
-			{senders, 3, 2, 1, true, false, 1, siteB},
-			{senders, 30, 0.9, 1, true, false, 0, siteC},
-			{senders, 30, 2, 1, true, true, 1, siteC},
-			{senders, 3, 2, 1, true, false, 0.7, siteC},
-			{senders, 3, 2, 1, false, false, 0, siteC},
-		} {
-			for seed := range uint64(3) {
-				w := playFleet(t, c, seed)
-				broken, worst := w.fell()
-				if broken {
-					t.Errorf("%v, seed %d: pushed over; %.0f calls, %.0f of senders told, bound %.1f, %v after the return", c, seed, worst.all, worst.told, worst.bound, worst.at)
-				}
-				if worst.told > worst.bound {
-					t.Errorf("%v, seed %d: senders told alone are over: %.0f, bound %.1f, %v after the return", c, seed, worst.told, worst.bound, worst.at)
-				}
-				if w.served == 0 {
-					t.Errorf("%v, seed %d: nothing served", c, seed)
-				}
-				if worst.told/math.Max(1, worst.bound) > most.told/math.Max(1, most.bound) {
-					most = worst
-				}
+		t.Run(fmt.Sprintf("%d senders", senders), func(t *testing.T) {
+			t.Parallel()
+			fleetOfSizeKeepsTheBudget(t, senders)
+		})
+	}
+}
+
+// fleetOfSizeKeepsTheBudget plays all days of one size.
+func fleetOfSizeKeepsTheBudget(t *testing.T, senders int) {
+	var most fleetWindow // of all plays of this size, against its bound
+	for _, c := range []fleetCase{
+		{senders, 30, 0.9, 1, true, false, 0, siteA},
+		{senders, 30, 0.9, 1, false, true, 0, siteA},
+		{senders, 30, 0.9, 1, false, false, 0, siteA},
+		{senders, 30, 2, 1, true, false, 0, siteA},
+		{senders, 30, 2, 1, false, true, 0, siteA},
+		{senders, 30, 0.9, 0.8, false, true, 0, siteA},
+		{senders, 30, 2, 0.8, false, true, 0, siteA},
+		{senders, 3, 0.9, 1, false, true, 0, siteA},
+		{senders, 3, 2, 0.8, true, false, 0, siteA},
+		{senders, 3, 2, 1, false, false, 0, siteA},
+		{senders, 30, 2, 1, true, false, 0.4, siteA},
+		{senders, 30, 2, 1, false, true, 1, siteA},
+		{senders, 30, 0.9, 1, true, false, 1, siteB},
+		{senders, 30, 2, 1, true, true, 0.7, siteB},
+		{senders, 3, 2, 1, true, false, 1, siteB},
+		{senders, 30, 0.9, 1, true, false, 0, siteC},
+		{senders, 30, 2, 1, true, true, 1, siteC},
+		{senders, 3, 2, 1, true, false, 0.7, siteC},
+		{senders, 3, 2, 1, false, false, 0, siteC},
+	} {
+		for seed := range uint64(3) {
+			w := playFleet(t, c, seed)
+			broken, worst := w.fell()
+			if broken {
+				t.Errorf("%v, seed %d: pushed over; %.0f calls, %.0f of senders told, bound %.1f, %v after the return", c, seed, worst.all, worst.told, worst.bound, worst.at)
+			}
+			if worst.told > worst.bound {
+				t.Errorf("%v, seed %d: senders told alone are over: %.0f, bound %.1f, %v after the return", c, seed, worst.told, worst.bound, worst.at)
+			}
+			if w.served == 0 {
+				t.Errorf("%v, seed %d: nothing served", c, seed)
+			}
+			if worst.told/math.Max(1, worst.bound) > most.told/math.Max(1, most.bound) {
+				most = worst
 			}
 		}
-		t.Logf("%d senders: at most %.0f calls of senders told in a window, bound %.1f, %v after the return", senders, most.told, most.bound, most.at)
 	}
+	t.Logf("%d senders: at most %.0f calls of senders told in a window, bound %.1f, %v after the return", senders, most.told, most.bound, most.at)
 }
--- a/policy/property_test.go
+++ b/policy/property_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -448,16 +449,19 @@
 
 func TestSixRules(t *testing.T) {
 	for seed := range uint64(60) {
-		w := play(t, seed, blind{})
-		for rule := 1; rule <= 6; rule++ {
-			if w.broken[rule] != "" {
-				t.Errorf("seed %d, rule %d: %s", seed, rule, w.broken[rule])
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			w := play(t, seed, blind{})
+			for rule := 1; rule <= 6; rule++ {
+				if w.broken[rule] != "" {
+					t.Errorf("seed %d, rule %d: %s", seed, rule, w.broken[rule])
+				}
 			}
-		}
-		if w.answered < 150 || w.ends[1] == 0 || w.ends[2] == 0 {
-			t.Errorf("seed %d: %d answered, %v sends, refusals, failures: the run shows too little",
-				seed, w.answered, w.ends)
-		}
+			if w.answered < 150 || w.ends[1] == 0 || w.ends[2] == 0 {
+				t.Errorf("seed %d: %d answered, %v sends, refusals, failures: the run shows too little",
+					seed, w.answered, w.ends)
+			}
+		})
 	}
 }
 
@@ -478,6 +482,7 @@
 		{name: "rest", rule: 6, settings: func(s *Settings) { s.OrderPause = 0 }},
 	} {
 		t.Run(b.name, func(t *testing.T) {
+			t.Parallel()
 			for seed := range uint64(12) {
 				if play(t, seed, b).broken[b.rule] != "" {
 					return
@@ -491,18 +496,23 @@
 // The rules hold under the settings of any customer: any classes and effects, windows of a second and more, shares or none, limits,
 // costs and deadlines, one sender or hundreds.
 func TestSixRulesUnderAnySettings(t *testing.T) {
-	answered := 0
-	for seed := range uint64(60) {
-		w := play(t, 1000+seed, blind{drawn: true})
-		for rule := 1; rule <= 6; rule++ {
-			if w.broken[rule] != "" {
-				t.Errorf("seed %d, rule %d: %s; %+v", seed, rule, w.broken[rule], w.set)
-			}
+	var answered atomic.Int64
+	t.Run("seeds", func(t *testing.T) {
+		for seed := range uint64(60) {
+			t.Run(fmt.Sprint(seed), func(t *testing.T) {
+				t.Parallel()
+				w := play(t, 1000+seed, blind{drawn: true})
+				for rule := 1; rule <= 6; rule++ {
+					if w.broken[rule] != "" {
+						t.Errorf("seed %d, rule %d: %s; %+v", seed, rule, w.broken[rule], w.set)
+					}
+				}
+				answered.Add(int64(w.answered))
+			})
 		}
-		answered += w.answered
-	}
-	if answered < 60*100 {
-		t.Errorf("%d answered in all: the runs show too little", answered)
+	})
+	if answered.Load() < 60*100 {
+		t.Errorf("%d answered in all: the runs show too little", answered.Load())
 	}
 }
 
