Hold a follower that lacks entries for out of date

One that hears the tail but cannot ask it (a one-way cut, or a connection still backing off after one) stayed fresh, so its relays stayed with it. Change: the epoch counts as confirmed only once all that the tail has committed is held.

--- a/internal/chain/feed.go
+++ b/internal/chain/feed.go
@@ -139,9 +139,6 @@
 	if n.inChain() || n.journal.failed {
 		return
 	}
-	if epoch == n.view.Epoch && message.Confirmed {
-		n.confirmedAt, n.confirmedEpoch = n.now, epoch
-	}
 	if message.Snapshot != nil && !n.takeSnapshot(sender, message.Snapshot) {
 		return
 	}
@@ -152,6 +149,15 @@
 	n.followEntries(message.PreviousPosition, message.Entries)
 	verified := message.PreviousPosition + uint64(len(message.Entries))
 	n.commit(min(message.Committed, verified))
+	n.confirmByFeed(epoch, message)
+}
+
+// confirmByFeed notes that the epoch is in force, if all that the tail has committed is here: a process that hears the tail and
+// cannot ask it for what it lacks must not pass for one that is up to date.
+func (n *Node) confirmByFeed(epoch uint64, message *chainpb.Feed) {
+	if message.Confirmed && epoch == n.view.Epoch && n.log.committed >= message.Committed {
+		n.confirmedAt, n.confirmedEpoch = n.now, epoch
+	}
 }
 
 // takeSnapshot replaces the log, unless that holds as much: what follows in it may have been answered in a newer epoch.
--- a/internal/chain/feed_test.go
+++ b/internal/chain/feed_test.go
@@ -66,3 +66,30 @@
 	output = tail.node.Receive(s.now.Add(time.Second), rest[0].self.Address, asks)
 	assert.Equal(t, len(output.Sends), 0)
 }
+
+// A process that hears the tail but cannot ask it for what it missed is not up to date, and says so: relays leave it.
+func TestFollowerThatLacksEntriesIsNotFresh(t *testing.T) {
+	s := settled(t, 5, 3)
+	members, rest := (&walk{simulation: s}).chainAndRest()
+	follower := rest[0]
+	assert.Assert(t, follower.node.Fresh(s.now))
+	for _, member := range members {
+		s.trouble.cut[[2]int{follower.number, member.number}] = true
+		s.trouble.cut[[2]int{member.number, follower.number}] = true
+	}
+	members[0].submit("missed", func(Answer) {})
+	s.run(beatInterval)
+	for _, member := range members {
+		delete(s.trouble.cut, [2]int{member.number, follower.number})
+	}
+	s.run(freshFor + beatInterval)
+	_, there := members[0].node.Committed()
+	_, here := follower.node.Committed()
+	assert.Assert(t, here < there)
+	assert.Assert(t, !follower.node.Fresh(s.now))
+	clear(s.trouble.cut)
+	s.run(time.Second)
+	_, here = follower.node.Committed()
+	assert.Equal(t, here, there)
+	assert.Assert(t, follower.node.Fresh(s.now))
+}
