Make no member head again whose disk does not keep up

Change: a promise says whether the promiser's disk keeps up; of those that installed the newest epoch, each of which holds all that was answered, one whose disk does goes first, and the others follow last in the chain.

--- a/internal/chain/acceptor.go
+++ b/internal/chain/acceptor.go
@@ -74,6 +74,7 @@
 	promise.Installed = n.installed
 	promise.Position = n.log.lastPosition()
 	promise.Unheard = n.unheard()
+	promise.Sick = n.sick()
 	if !n.acceptor.accepted.zero() {
 		promise.Accepted = ballotToWire(n.acceptor.accepted)
 		promise.View = viewToWire(n.acceptor.view)
--- a/internal/chain/propose.go
+++ b/internal/chain/propose.go
@@ -88,8 +88,9 @@
 	return voters
 }
 
-// nextHead is the promiser whose log is the newest. That log holds whatever was answered. Who is the head already stays it
-// where logs are equal.
+// nextHead is one of the promisers that installed the newest epoch. What was answered passed through every member of the chain, so
+// each of them holds it all. One whose disk keeps up goes first, then the one with the longest log, and who is the head already
+// stays it where logs are equal.
 func (n *Node) nextHead(view View) (Member, bool) {
 	var head Member
 	var newest *chainpb.Promise
@@ -100,7 +101,11 @@
 		}
 		order := 1
 		if newest != nil {
-			order = cmp.Or(cmp.Compare(promise.Installed, newest.Installed), cmp.Compare(promise.Position, newest.Position))
+			order = cmp.Or(
+				cmp.Compare(promise.Installed, newest.Installed),
+				compareFlags(newest.Sick, promise.Sick),
+				cmp.Compare(promise.Position, newest.Position),
+			)
 		}
 		if order > 0 || (order == 0 && voter.Identity == n.view.Head()) {
 			head, newest = voter, promise
@@ -112,6 +117,7 @@
 // chainCandidate is one that may be a member of the chain, with what speaks for and against it.
 type chainCandidate struct {
 	member   Member
+	sick     bool // its disk does not keep up
 	unheard  bool // by a neighbour
 	outside  bool // it is not in the chain now
 	newcomer bool // it did not promise, as it becomes a voter with this view
@@ -123,13 +129,15 @@
 	complaints := n.complaints(head)
 	var candidates []chainCandidate
 	for _, voter := range view.Voters {
-		promised := n.attempt.promises[electorKey(n.attempt.instance, voter)] != nil
+		promise := n.attempt.promises[electorKey(n.attempt.instance, voter)]
+		promised := promise != nil
 		newcomer := !promised && voter.Identity == n.attempt.change.add.Identity
 		if voter.Identity == head.Identity || (!promised && !newcomer) {
 			continue
 		}
 		candidates = append(candidates, chainCandidate{
 			member:   voter,
+			sick:     promise.GetSick(),
 			unheard:  complaints[voter.Identity],
 			outside:  n.view.Place(voter.Identity) < 0,
 			newcomer: newcomer,
@@ -155,6 +163,7 @@
 func compareCandidates(a, b chainCandidate) int {
 	return cmp.Or(
 		compareFlags(a.newcomer, b.newcomer),
+		compareFlags(a.sick, b.sick),
 		compareFlags(a.unheard, b.unheard),
 		compareFlags(a.outside, b.outside),
 		cmp.Compare(a.distance, b.distance),
--- /dev/null
+++ b/internal/chain/propose_test.go
@@ -0,0 +1,50 @@
+package chain
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"wallflow/internal/chain/chainpb"
+)
+
+// proposer is a voter of five with an attempt that has these promises, by place in the view.
+func proposer(t *testing.T, promises map[int]*chainpb.Promise) (*Node, View) {
+	t.Helper()
+	s := settled(t, 6, 5)
+	node := s.processes[0].node
+	view := node.View()
+	node.attempt = &attempt{instance: view.Epoch + 1, promises: make(map[string]*chainpb.Promise)}
+	for place, promise := range promises {
+		promise.Member = memberToWire(view.Voters[place])
+		node.attempt.promises[string(view.Voters[place].Identity)] = promise
+	}
+	return node, view
+}
+
+// A member whose disk does not keep up mostly has the longest log: it took entries that it could not pass on.
+func TestSickMemberIsNotHeadWhereAnotherHoldsAllThatWasAnswered(t *testing.T) {
+	node, view := proposer(t, map[int]*chainpb.Promise{
+		0: {Installed: 1, Position: 7, Sick: true},
+		1: {Installed: 1, Position: 5},
+		2: {Installed: 0, Position: 9},
+	})
+	head, found := node.nextHead(view)
+	assert.Assert(t, found)
+	assert.Equal(t, head.Identity, view.Voters[1].Identity)
+	candidates := node.chainCandidates(view, head)
+	assert.Equal(t, len(candidates), 2)
+	assert.Equal(t, candidates[1].member.Identity, view.Voters[0].Identity)
+}
+
+// One that alone installed the newest epoch may alone hold what was answered.
+func TestSickMemberIsHeadWhereItAloneHoldsAllThatWasAnswered(t *testing.T) {
+	node, view := proposer(t, map[int]*chainpb.Promise{
+		0: {Installed: 2, Position: 7, Sick: true},
+		1: {Installed: 1, Position: 7},
+		2: {Installed: 1, Position: 7},
+	})
+	head, found := node.nextHead(view)
+	assert.Assert(t, found)
+	assert.Equal(t, head.Identity, view.Voters[0].Identity)
+}
