Explore the model of the fleet's policy with all processors

Worlds of one round are taken further side by side and counted in their order. Same states as before: 27,121, 36,752 and 145,118; every planted mistake is found after as many states.

--- a/internal/accord/model_test.go
+++ b/internal/accord/model_test.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"runtime"
+	"sync"
 	"testing"
 	"time"
 )
@@ -324,26 +326,61 @@
 
 // explore goes through all that can happen from a world on; whole: it came to the end of it.
 func explore(first *world, m mistakes, most int) (states int, whole bool, wrong string) {
+	const together = 512 // worlds whose next steps are taken side by side
 	seen := map[string]bool{first.key(): true}
-	for line := []*world{first}; len(line) > 0; line = line[1:] {
-		line[0].steps(m, func(_ int, f func(n *world) bool) {
-			n := line[0].clone()
-			if !f(n) || wrong != "" {
-				return
+	for line := []*world{first}; len(line) > 0; {
+		round := line[:min(together, len(line))]
+		line = line[len(round):]
+		for _, next := range successorsOf(round, m) {
+			for _, n := range next {
+				if n.wrong != "" {
+					return len(seen), false, n.wrong
+				}
+				if !seen[n.name] {
+					seen[n.name] = true
+					line = append(line, n.world)
+				}
 			}
-			wrong = n.wrong
-			if k := n.key(); !seen[k] {
-				seen[k] = true
-				line = append(line, n)
+			if len(seen) > most {
+				return len(seen), false, ""
 			}
-		})
-		if wrong != "" || len(seen) > most {
-			return len(seen), false, wrong
 		}
 	}
 	return len(seen), true, ""
 }
 
+// successor is a world after one more step, with its key.
+type successor struct {
+	*world
+	name string
+}
+
+// successorsOf takes every step from each of some worlds.
+func successorsOf(round []*world, m mistakes) [][]successor {
+	all := make([][]successor, len(round))
+	var group sync.WaitGroup
+	workers := runtime.GOMAXPROCS(0)
+	for worker := range workers {
+		group.Go(func() {
+			for index := worker; index < len(round); index += workers {
+				all[index] = successors(round[index], m)
+			}
+		})
+	}
+	group.Wait()
+	return all
+}
+
+func successors(from *world, m mistakes) []successor {
+	var all []successor
+	from.steps(m, func(_ int, f func(n *world) bool) {
+		if n := from.clone(); f(n) {
+			all = append(all, successor{world: n, name: n.key()})
+		}
+	})
+	return all
+}
+
 // walk goes one way through it, drawn from a seed.
 func walk(w *world, m mistakes, rng *rand.Rand, steps int) string {
 	var all []func(n *world) bool
