--- a/internal/trial/trial_test.go
+++ b/internal/trial/trial_test.go
@@ -258,19 +258,26 @@
 		what, name, scenario string
 		seed                 uint64
 		changes              []change
+		steps                []Step // in place of the scenario's own
 	}{
-		{"a relay in doubt goes on", check.OnePolicy, "policy-in-doubt", 2, []change{{gate, "if !now.Before(p.stop) {", "if p.number < 0 {"}}},
+		{"a relay in doubt goes on", check.OnePolicy, "policy-in-doubt", 2, []change{{gate, "if !now.Before(p.stop) {", "if p.number < 0 {"}}, nil},
 		{"a seal without all", check.StaysUp, "policy-calm", 4, []change{
 			{state, "if missing := s.Missing(); len(missing) > 0 {\n\t\t\treturn 0, fmt.Errorf(\"%w: %s has not promised it\"", "if missing := s.Missing(); len(missing) > 9 {\n\t\t\treturn 0, fmt.Errorf(\"%w: %s has not promised it\""},
-			{"internal/listsvc/fleet.go", "case len(missing) == 0:\n", "case c.Phase == accord.Armed:\n"}}},
-		{"a dropped policy is followed", check.OnePolicy, "policy-agent-kill", 4, []change{{relay, "\t\t\tf.says.Can = c.Number\n", "\t\t\tf.says.Can = c.Number\n\t\t\tf.gate.Follow(c.Number, at)\n"}}},
-		{"a relay does not take hold", check.PolicySettles, "policy-calm", 2, []change{{relay, "if !turned {", "if !turned || number > 1 {"}}},
+			{"internal/listsvc/fleet.go", "case len(missing) == 0:\n", "case c.Phase == accord.Armed:\n"}}, nil},
+		{"a dropped policy is followed", check.OnePolicy, "policy-agent-kill", 4, []change{{relay, "\t\t\tf.says.Can = c.Number\n", "\t\t\tf.says.Can = c.Number\n\t\t\tf.gate.Follow(c.Number, at)\n"}},
+			// An agent that is away for longer than a change may take: the change can only be dropped.
+			[]Step{{At: span(800 * time.Millisecond), Do: "agent-kill", On: []string{"n0"}, For: span(policyWithin + 1500*time.Millisecond)},
+				{At: span(time.Second), Do: "policy-propose", On: []string{fleetName}}}},
+		{"a relay does not take hold", check.PolicySettles, "policy-calm", 2, []change{{relay, "if !turned {", "if !turned || number > 1 {"}}, nil},
 	} {
 		t.Run(c.what, func(t *testing.T) {
 			t.Parallel()
 			name := strings.ReplaceAll(c.what, " ", "-")
 			opts := options(t, relayProgram(t, "relay-"+name, c.changes...), "small", c.seed, 6*time.Second)
 			opts.Program = listProgram(t, "list-"+name, c.changes...)
+			if c.steps != nil {
+				opts.Plan = &Plan{Steps: c.steps}
+			}
 			found := map[string]int{}
 			for _, v := range mustPlay(t, c.scenario, opts).Verdict.Violations {
 				found[v.Name]++
