--- a/internal/chain/simulation_test.go
+++ b/internal/chain/simulation_test.go
@@ -28,6 +28,8 @@
 	verbose   bool
 	soft      bool           // what is broken is noted, not fatal
 	watch     func(*process) // after every call of a node
+	executed  int            // events so far
+	before    func(step int) // every event
 	broken    []string
 }
 
@@ -141,6 +143,10 @@
 	for len(s.events) > 0 && !s.events[0].at.After(end) {
 		next := heap.Pop(&s.events).(event)
 		s.now = next.at
+		if s.before != nil {
+			s.before(s.executed)
+		}
+		s.executed++
 		next.run()
 	}
 	s.now = end
