--- a/internal/accord/model_test.go
+++ b/internal/accord/model_test.go
@@ -4,10 +4,10 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
-	"runtime"
-	"sync"
 	"testing"
 	"time"
+
+	"wallflow/internal/testkit"
 )
 
 // The model: the fleet's state, two agents with a relay each, and everything that can happen to them in every order, in steps of a
@@ -358,16 +358,9 @@
 // successorsOf takes every step from each of some worlds.
 func successorsOf(round []*world, m mistakes) [][]successor {
 	all := make([][]successor, len(round))
-	var group sync.WaitGroup
-	workers := runtime.GOMAXPROCS(0)
-	for worker := range workers {
-		group.Go(func() {
-			for index := worker; index < len(round); index += workers {
-				all[index] = successors(round[index], m)
-			}
-		})
-	}
-	group.Wait()
+	testkit.Each(len(round), func(index int) {
+		all[index] = successors(round[index], m)
+	})
 	return all
 }
 
--- a/internal/chain/schedule_test.go
+++ b/internal/chain/schedule_test.go
@@ -3,10 +3,10 @@
 import (
 	"flag"
 	"fmt"
-	"runtime"
-	"sync"
 	"testing"
 	"time"
+
+	"wallflow/internal/testkit"
 )
 
 // The schedules of this file are all there are: each fault at each event of a small world, and each pair of faults at each pair of some
@@ -105,18 +105,11 @@
 // playAll plays schedules side by side and reports those in which something broke.
 func playAll(t *testing.T, voters int, schedules [][]scheduled) {
 	t.Helper()
-	var group sync.WaitGroup
-	workers := runtime.GOMAXPROCS(0)
-	for worker := range workers {
-		group.Go(func() {
-			for index := worker; index < len(schedules); index += workers {
-				if broken, _ := playSchedule(t, voters, mistakes{}, schedules[index]...); len(broken) > 0 {
-					t.Errorf("%v: %s", schedules[index], broken[0])
-				}
-			}
-		})
-	}
-	group.Wait()
+	testkit.Each(len(schedules), func(index int) {
+		if broken, _ := playSchedule(t, voters, mistakes{}, schedules[index]...); len(broken) > 0 {
+			t.Errorf("%v: %s", schedules[index], broken[0])
+		}
+	})
 	t.Logf("%d schedules", len(schedules))
 }
 
