Play selectors against emulated engines: wallflow's experiment package

Long prompts that other relays send to an engine are what the selector does not see. Trial, taken back: a region's engines divided into those for long and those for short prompts.

--- a/internal/emulator/endpoint.go
+++ b/internal/emulator/endpoint.go
@@ -56,7 +56,7 @@
 	setDefault(&o.Shop.Slots, defaultShopSlots)
 	setDefault(&o.Shop.Queue, defaultShopQueue)
 	if o.Engine != nil {
-		engine := o.Engine.withDefaults()
+		engine := o.Engine.WithDefaults()
 		o.Engine = &engine
 	}
 	if o.Log == nil {
--- a/internal/emulator/engine.go
+++ b/internal/emulator/engine.go
@@ -35,7 +35,7 @@
 
 // NewEngine returns an engine with nothing to do.
 func NewEngine(options EngineOptions) *Engine {
-	options = options.withDefaults()
+	options = options.WithDefaults()
 	return &Engine{options: options, cache: newCache(options.KVCapacity)}
 }
 
@@ -278,3 +278,24 @@
 	}
 	return events
 }
+
+// Unread is how many prompt tokens of a job the engine would have to read, as of now.
+func (e *Engine) Unread(job Job) int {
+	unread := job.promptTokens()
+	for _, kept := range e.cache.prefix(job.Model, job.Parts) {
+		unread -= kept.tokens
+	}
+	return unread
+}
+
+// Backlog is how many prompt tokens of admitted and waiting jobs are not read yet.
+func (e *Engine) Backlog() int {
+	backlog := 0
+	for _, member := range e.batch {
+		backlog += member.toRead
+	}
+	for _, waiting := range e.queue.waiting {
+		backlog += e.Unread(waiting.job)
+	}
+	return backlog
+}
--- a/internal/emulator/options.go
+++ b/internal/emulator/options.go
@@ -28,10 +28,11 @@
 
 // DefaultEngine describes the engines that the system is built for.
 func DefaultEngine() EngineOptions {
-	return EngineOptions{}.withDefaults()
+	return EngineOptions{}.WithDefaults()
 }
 
-func (o EngineOptions) withDefaults() EngineOptions {
+// WithDefaults puts the default where nothing was given.
+func (o EngineOptions) WithDefaults() EngineOptions {
 	setDefault(&o.Slots, defaultSlots)
 	setDefault(&o.Queue, defaultQueue)
 	setDefault(&o.KVCapacity, defaultKVCapacity)
--- /dev/null
+++ b/internal/experiment/world.go
@@ -0,0 +1,231 @@
+package experiment
+
+import (
+	"container/heap"
+	"time"
+
+	"wallflow/internal/emulator"
+)
+
+const modelName = "m"
+
+// The ways between places, one way.
+const (
+	zoneDelay   = time.Millisecond
+	regionDelay = 35 * time.Millisecond
+)
+
+// playStart is the virtual time at which every play begins.
+var playStart = time.Unix(1_000_000, 0)
+
+// event is something that happens at a virtual time.
+type event struct {
+	at    time.Time
+	order int
+	run   func()
+}
+
+type eventHeap []event
+
+func (h eventHeap) Len() int { return len(h) }
+func (h eventHeap) Less(i, j int) bool {
+	if h[i].at.Equal(h[j].at) {
+		return h[i].order < h[j].order
+	}
+	return h[i].at.Before(h[j].at)
+}
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
+func (h *eventHeap) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return last
+}
+
+// world is a play that is under way.
+type world struct {
+	options  *Options
+	now      time.Time
+	events   eventHeap
+	order    int
+	engines  []*engine
+	policy   policy
+	load     *generator
+	attempts map[emulator.JobID]*attempt
+	jobs     emulator.JobID
+	figures  *recorder
+}
+
+// engine is an emulated engine at its place.
+type engine struct {
+	*emulator.Engine
+	region  int
+	pending bool // an event will advance it
+}
+
+func newWorld(options *Options, make newPolicy) *world {
+	w := &world{
+		options:  options,
+		now:      playStart,
+		attempts: map[emulator.JobID]*attempt{},
+		figures:  newRecorder(options),
+	}
+	for index := range options.Engines {
+		w.engines = append(w.engines, &engine{Engine: emulator.NewEngine(options.Engine), region: index % options.Regions})
+	}
+	w.load = newGenerator(options, w.now)
+	w.policy = make(w)
+	return w
+}
+
+func (w *world) regionOfRelay(relay int) int { return relay % w.options.Regions }
+
+// delay is the time from a relay to an engine.
+func (w *world) delay(relay, engine int) time.Duration {
+	if w.regionOfRelay(relay) == w.engines[engine].region {
+		return zoneDelay
+	}
+	return regionDelay
+}
+
+func (w *world) at(when time.Time, run func()) {
+	w.order++
+	heap.Push(&w.events, event{at: when, order: w.order, run: run})
+}
+
+// play runs until every request has ended.
+func (w *world) play() {
+	w.arrivals()
+	for len(w.events) > 0 {
+		next := heap.Pop(&w.events).(event)
+		w.now = next.at
+		next.run()
+	}
+}
+
+// arrivals draws the next request and lets it arrive.
+func (w *world) arrivals() {
+	next := w.load.draw()
+	if next.arrived.Sub(playStart) > w.options.For {
+		return
+	}
+	w.at(next.arrived, func() {
+		w.arrivals()
+		w.policy.arrive(next)
+	})
+	w.at(next.deadline, func() { w.expire(next) })
+}
+
+// send has a relay send a request to an engine.
+func (w *world) send(r *request, target int, token any) {
+	w.jobs++
+	r.tries++
+	a := &attempt{request: r, engine: target, id: w.jobs, token: token}
+	r.attempt = a
+	w.attempts[a.id] = a
+	w.at(w.now.Add(w.delay(r.relay, target)), func() { w.reach(a) })
+}
+
+// reach gives an attempt to its engine, which may be full.
+func (w *world) reach(a *attempt) {
+	if a.done {
+		return
+	}
+	target := w.engines[a.engine]
+	if target.Submit(w.now, a.request.job(a.id)) {
+		w.arm(target)
+		return
+	}
+	w.at(w.now.Add(w.delay(a.request.relay, a.engine)), func() {
+		if w.finish(a) {
+			w.policy.full(a)
+		}
+	})
+}
+
+// arm makes sure that an engine is advanced when it has something to do.
+func (w *world) arm(target *engine) {
+	next, busy := target.Next()
+	if !busy || target.pending {
+		return
+	}
+	target.pending = true
+	w.at(next, func() {
+		target.pending = false
+		for _, made := range target.Advance(w.now) {
+			w.deliver(made)
+		}
+		w.arm(target)
+	})
+}
+
+// deliver takes what an engine made back to the relay.
+func (w *world) deliver(made emulator.Event) {
+	a := w.attempts[made.Job]
+	if a == nil {
+		return
+	}
+	w.at(w.now.Add(w.delay(a.request.relay, a.engine)), func() { w.receive(a, made) })
+}
+
+func (w *world) receive(a *attempt, made emulator.Event) {
+	r := a.request
+	if a.done || r.ended {
+		return
+	}
+	if made.Kind != emulator.EventTokens {
+		if w.finish(a) {
+			w.end(r)
+		}
+		return
+	}
+	if r.firstAt.IsZero() {
+		r.firstAt = w.now
+		w.policy.first(a)
+	} else {
+		r.longest = max(r.longest, w.now.Sub(r.lastAt))
+	}
+	r.lastAt = w.now
+	if made.Last && w.finish(a) {
+		r.inTime = r.firstAt.Sub(r.arrived) <= r.kind.Aim
+		w.policy.served(a)
+		w.end(r)
+	}
+}
+
+// finish ends an attempt; false: it had ended.
+func (w *world) finish(a *attempt) bool {
+	if a.done {
+		return false
+	}
+	a.done = true
+	delete(w.attempts, a.id)
+	if a.request.attempt == a {
+		a.request.attempt = nil
+	}
+	return true
+}
+
+// expire gives a request up whose client waits no longer.
+func (w *world) expire(r *request) {
+	if r.ended {
+		return
+	}
+	if a := r.attempt; a != nil && w.finish(a) {
+		w.engines[a.engine].Cancel(w.now, a.id)
+		w.policy.gone(a)
+	}
+	w.end(r)
+}
+
+// refuse ends a request that was never sent.
+func (w *world) refuse(r *request) { w.end(r) }
+
+func (w *world) end(r *request) {
+	if r.ended {
+		return
+	}
+	r.ended = true
+	w.figures.add(r)
+}
