Leave a zone as a whole when nothing comes from it any more

Change: a zone counts as dark when four requests to it are overdue with nothing heard from it since they were sent and something from elsewhere (two where membership hears nobody there); one request at a time tries it, and a byte from it ends it. A relay that stood still, or hears nobody, blames no zone.

--- a/internal/dataplane/peers.go
+++ b/internal/dataplane/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -97,6 +98,7 @@
 
 // takePeers tells the selector of the relays around when they have changed.
 func (p *Process) takePeers(now time.Time) {
+	p.takeDoubts()
 	view := p.viewPeers()
 	view.mayOwn = p.ownership.update(now, p.subscriber.Fresh(now))
 	if view.equal(p.peers) {
@@ -110,6 +112,32 @@
 	proxy.WakeAll(p.selector)
 }
 
+// takeDoubts tells the selector in which zones nobody is heard any more, of those where somebody was.
+func (p *Process) takeDoubts() {
+	alive := make(map[string]bool)
+	for _, member := range p.members.Members() {
+		if member.Status == swim.Alive {
+			alive[member.Meta.Zone] = true
+		}
+	}
+	doubted := make(map[string]bool)
+	for zone := range p.seenZones {
+		if !alive[zone] {
+			doubted[zone] = true
+		}
+	}
+	for zone := range alive {
+		p.seenZones[zone] = true
+	}
+	if maps.Equal(doubted, p.doubted) {
+		return
+	}
+	p.doubted = doubted
+	p.selectorLock.Lock()
+	defer p.selectorLock.Unlock()
+	p.selector.SetDoubtedZones(doubted)
+}
+
 // viewPeers lists the relays that are alive.
 func (p *Process) viewPeers() peerView {
 	view := peerView{zones: make(map[string][]string)}
--- a/internal/dataplane/process.go
+++ b/internal/dataplane/process.go
@@ -50,6 +50,8 @@
 	home       *distribution.Publisher // feeds the other relays of a large zone
 	peers      peerView                // as the selector was last told
 	sources    []string
+	seenZones  map[string]bool // zones in which a process was alive at some time
+	doubted    map[string]bool // of those, the ones in which none is now
 	ownership  ownership
 	leaving    bool
 
@@ -69,7 +71,7 @@
 func Start(set *settings.Settings, log *slog.Logger, options Options) (*Process, error) {
 	now := time.Now()
 	seed := processSeed(set, now)
-	p := &Process{settings: set, log: log, zoneOf: make(map[string]string)}
+	p := &Process{settings: set, log: log, zoneOf: make(map[string]string), seenZones: make(map[string]bool)}
 	if options.Openings {
 		p.openings = newOpeningsPart(set, now)
 	}
--- a/internal/selector/candidates.go
+++ b/internal/selector/candidates.go
@@ -190,6 +190,9 @@
 	if endpoint.load.outstanding >= s.connections(endpoint) {
 		return now.Add(retryLook)
 	}
+	if free := s.zoneFree(now, endpoint); free.After(now) {
+		return free
+	}
 	if endpoint.hangs(now) {
 		s.enterSkip(now, endpoint)
 		return endpoint.skip.until
--- a/internal/selector/choose.go
+++ b/internal/selector/choose.go
@@ -24,6 +24,7 @@
 // Choose says what happens next to a request: at first, and after each attempt that ended without an answer for the client.
 func (s *Selector) Choose(now time.Time, request *Request) Decision {
 	s.pass(now)
+	s.noteAwake(now)
 	s.begin(now, request)
 	if decision, over := s.final(now, request); over {
 		return decision
@@ -158,6 +159,7 @@
 	}
 	endpoint.pace.take(now)
 	endpoint.load.begin(now, attempt, s.options.Engines.TokensPerMs)
+	endpoint.watch.sent(attempt)
 	endpoint.remember(now, request)
 	return Decision{
 		Kind:     Send,
--- a/internal/selector/endpoint.go
+++ b/internal/selector/endpoint.go
@@ -12,6 +12,7 @@
 	instance  registry.Instance
 	service   *service
 	tier      *tier
+	watch     *zoneWatch // of its zone
 	place     placeOf
 	index     int // in its tier's list
 	hash      uint64
@@ -31,6 +32,12 @@
 	return &endpoint{service: service, hash: hashText(instance.ID)}
 }
 
+// heard takes that something came from the endpoint.
+func (e *endpoint) heard(now time.Time) {
+	e.health.heard(now)
+	e.watch.heard(now)
+}
+
 // returnsCold has the endpoint count as cold for the warm-up of its service from now on.
 func (e *endpoint) returnsCold(now time.Time) {
 	if warmup := e.service.warmup(); warmup > 0 {
--- a/internal/selector/outcome.go
+++ b/internal/selector/outcome.go
@@ -17,7 +17,7 @@
 		return
 	}
 	endpoint := attempt.endpoint
-	endpoint.health.heard(now)
+	endpoint.heard(now)
 	endpoint.load.answered(attempt)
 	took := now.Sub(attempt.sentAt)
 	endpoint.load.learn(now, inMs(took-attempt.expected)+attempt.lateMs)
@@ -91,7 +91,7 @@
 func (s *Selector) succeeded(now time.Time, attempt *Attempt) {
 	endpoint := attempt.endpoint
 	s.learnDuration(now, attempt)
-	endpoint.health.heard(now)
+	endpoint.heard(now)
 	endpoint.health.succeeded()
 	if endpoint.skip.clear() {
 		endpoint.pace.restart(now)
@@ -130,9 +130,9 @@
 	}
 	switch outcome.Kind {
 	case Full, NotExecuted, Misdirected:
-		health.heard(now)
+		attempt.endpoint.heard(now)
 	case EndpointError:
-		health.heard(now)
+		attempt.endpoint.heard(now)
 		health.failed()
 	case TimedOut:
 		if health.heardAt.After(attempt.sentAt) {
--- a/internal/selector/selector.go
+++ b/internal/selector/selector.go
@@ -14,23 +14,26 @@
 
 // Selector chooses endpoints for the requests of one relay. It is not safe for use by several goroutines: the caller holds a lock.
 type Selector struct {
-	options   Options
-	random    *rand.Rand
-	compiled  *config.Compiled
-	services  map[string]*service
-	endpoints map[string]*endpoint // by instance id
-	ordered   []*endpoint          // the same, in the order of their coming: equal inputs give equal decisions
-	plans     map[*config.Route]*plan
-	regions   []string // the own region first, then the others in a fixed order
-	evacuated map[string]bool
-	relays    int // in the zone, this one included
-	owns      func(instanceID string) bool
-	cold      *budget.ColdLimiter
-	matched   map[RuleName]uint64
-	timers    timerHeap // when endpoints change their standing by the passing of time
-	woken     []*Request
-	listing   uint64 // number of the last whole list
-	scratch   []candidate
+	options    Options
+	random     *rand.Rand
+	compiled   *config.Compiled
+	services   map[string]*service
+	endpoints  map[string]*endpoint // by instance id
+	ordered    []*endpoint          // the same, in the order of their coming: equal inputs give equal decisions
+	plans      map[*config.Route]*plan
+	regions    []string // the own region first, then the others in a fixed order
+	evacuated  map[string]bool
+	relays     int // in the zone, this one included
+	owns       func(instanceID string) bool
+	cold       *budget.ColdLimiter
+	matched    map[RuleName]uint64
+	watches    map[string]*zoneWatch // by zone
+	decidedAt  time.Time
+	awakeSince time.Time // decisions have been asked for without a long pause since
+	timers     timerHeap // when endpoints change their standing by the passing of time
+	woken      []*Request
+	listing    uint64 // number of the last whole list
+	scratch    []candidate
 
 	tierScratch []*tier
 }
@@ -52,6 +55,7 @@
 		plans:     map[*config.Route]*plan{},
 		regions:   regionOrder(options),
 		evacuated: map[string]bool{},
+		watches:   map[string]*zoneWatch{},
 		relays:    1,
 		matched:   map[RuleName]uint64{},
 		cold:      budget.NewColdLimiter(),
@@ -119,6 +123,7 @@
 		s.ordered = append(s.ordered, known)
 	}
 	known.instance, known.listing = *instance, s.listing
+	known.watch = s.watchOf(instance.Zone)
 	s.join(known)
 	s.settle(now, known)
 }
