One event queue for all simulations

Need: three packages had the same heap of events for a virtual clock. internal/virtualtime has it once.

--- a/internal/chain/simulation_test.go
+++ b/internal/chain/simulation_test.go
@@ -1,7 +1,6 @@
 package chain
 
 import (
-	"container/heap"
 	"errors"
 	"fmt"
 	"math/rand"
@@ -13,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"wallflow/internal/chain/chainpb"
+	"wallflow/internal/virtualtime"
 )
 
 // simulation plays processes with a virtual clock. Equal seeds give equal runs.
@@ -20,8 +20,7 @@
 	t         *testing.T
 	random    *rand.Rand
 	now       time.Time
-	events    eventQueue
-	sequence  int
+	events    virtualtime.Queue
 	processes []*process
 	seeds     []string
 	trouble   networkTrouble
@@ -66,30 +65,6 @@
 	mistakes   mistakes
 }
 
-type event struct {
-	at       time.Time
-	sequence int
-	run      func()
-}
-
-type eventQueue []event
-
-func (q eventQueue) Len() int { return len(q) }
-func (q eventQueue) Less(i, j int) bool {
-	if !q[i].at.Equal(q[j].at) {
-		return q[i].at.Before(q[j].at)
-	}
-	return q[i].sequence < q[j].sequence
-}
-func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *eventQueue) Push(x any)   { *q = append(*q, x.(event)) }
-func (q *eventQueue) Pop() any {
-	old := *q
-	last := old[len(old)-1]
-	*q = old[:len(old)-1]
-	return last
-}
-
 const (
 	simulatedTick  = 50 * time.Millisecond
 	simulatedAlive = 100 * time.Millisecond
@@ -133,21 +108,23 @@
 }
 
 func (s *simulation) after(delay time.Duration, run func()) {
-	s.sequence++
-	heap.Push(&s.events, event{at: s.now.Add(delay), sequence: s.sequence, run: run})
+	s.events.At(s.now.Add(delay), run)
 }
 
 // run lets time pass.
 func (s *simulation) run(duration time.Duration) {
 	end := s.now.Add(duration)
-	for len(s.events) > 0 && !s.events[0].at.After(end) {
-		next := heap.Pop(&s.events).(event)
-		s.now = next.at
+	for {
+		at, happen, due := s.events.Next(end)
+		if !due {
+			break
+		}
+		s.now = at
 		if s.before != nil {
 			s.before(s.executed)
 		}
 		s.executed++
-		next.run()
+		happen()
 	}
 	s.now = end
 }
--- a/internal/experiment/world.go
+++ b/internal/experiment/world.go
@@ -1,10 +1,10 @@
 package experiment
 
 import (
-	"container/heap"
 	"time"
 
 	"wallflow/internal/emulator"
+	"wallflow/internal/virtualtime"
 )
 
 const modelName = "m"
@@ -18,37 +18,11 @@
 // playStart is the virtual time at which every play begins.
 var playStart = time.Unix(1_000_000, 0)
 
-// event is something that happens at a virtual time.
-type event struct {
-	at    time.Time
-	order int
-	run   func()
-}
-
-type eventHeap []event
-
-func (h eventHeap) Len() int { return len(h) }
-func (h eventHeap) Less(i, j int) bool {
-	if h[i].at.Equal(h[j].at) {
-		return h[i].order < h[j].order
-	}
-	return h[i].at.Before(h[j].at)
-}
-func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
-func (h *eventHeap) Pop() any {
-	old := *h
-	last := old[len(old)-1]
-	*h = old[:len(old)-1]
-	return last
-}
-
 // world is a play that is under way.
 type world struct {
 	options  *Options
 	now      time.Time
-	events   eventHeap
-	order    int
+	events   virtualtime.Queue
 	engines  []*engine
 	policy   policy
 	load     *generator
@@ -89,18 +63,18 @@
 	return regionDelay
 }
 
-func (w *world) at(when time.Time, run func()) {
-	w.order++
-	heap.Push(&w.events, event{at: when, order: w.order, run: run})
-}
+func (w *world) at(when time.Time, run func()) { w.events.At(when, run) }
 
 // play runs until every request has ended.
 func (w *world) play() {
 	w.arrivals()
-	for len(w.events) > 0 {
-		next := heap.Pop(&w.events).(event)
-		w.now = next.at
-		next.run()
+	for {
+		at, happen, left := w.events.First()
+		if !left {
+			return
+		}
+		w.now = at
+		happen()
 	}
 }
 
--- a/internal/swim/network_test.go
+++ b/internal/swim/network_test.go
@@ -1,7 +1,6 @@
 package swim
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -9,6 +8,8 @@
 
 	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
+
+	"wallflow/internal/virtualtime"
 )
 
 const (
@@ -22,31 +23,6 @@
 
 var simEpoch = time.Date(2026, 3, 1, 8, 0, 0, 0, time.UTC)
 
-// event is something that happens at a virtual time.
-type event struct {
-	at    time.Time
-	order int
-	run   func()
-}
-
-type eventHeap []event
-
-func (h eventHeap) Len() int { return len(h) }
-func (h eventHeap) Less(i, j int) bool {
-	if h[i].at.Equal(h[j].at) {
-		return h[i].order < h[j].order
-	}
-	return h[i].at.Before(h[j].at)
-}
-func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
-func (h *eventHeap) Pop() any {
-	old := *h
-	last := old[len(old)-1]
-	*h = old[:len(old)-1]
-	return last
-}
-
 // machine is one process in the virtual network.
 type machine struct {
 	self        Member
@@ -63,8 +39,7 @@
 	t        testing.TB
 	random   *rand.Rand
 	now      time.Time
-	events   eventHeap
-	order    int
+	events   virtualtime.Queue
 	machines map[string]*machine // by address
 	all      []*machine
 	seeds    []string
@@ -84,18 +59,18 @@
 	}
 }
 
-func (n *network) at(when time.Time, run func()) {
-	n.order++
-	heap.Push(&n.events, event{at: when, order: n.order, run: run})
-}
+func (n *network) at(when time.Time, run func()) { n.events.At(when, run) }
 
 // run plays events for a span of virtual time.
 func (n *network) run(span time.Duration) {
 	end := n.now.Add(span)
-	for len(n.events) > 0 && !n.events[0].at.After(end) {
-		next := heap.Pop(&n.events).(event)
-		n.now = next.at
-		next.run()
+	for {
+		at, happen, due := n.events.Next(end)
+		if !due {
+			break
+		}
+		n.now = at
+		happen()
 	}
 	n.now = end
 }
