--- a/internal/control/api.go
+++ b/internal/control/api.go
@@ -32,13 +32,24 @@
 }
 
 // DirectoryHandler serves clients that ask where to go.
-func (p *Process) DirectoryHandler() http.Handler {
-	return directory.NewHandler(directory.Options{
+func (p *Process) DirectoryHandler() http.Handler { return p.directory.Handler() }
+
+func (p *Process) newDirectory() *directory.Directory {
+	return directory.New(directory.Options{
 		Members: p.listMembers,
 		HoldMax: p.settings.Bounds.TTLMax(),
+		Region:  p.settings.Region,
+		InTouch: p.inTouch,
 	})
 }
 
+// inTouch tells whether a majority of the control processes confirmed the epoch a moment ago.
+func (p *Process) inTouch() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.chain.Fresh(time.Now())
+}
+
 func (p *Process) listMembers() []swim.Member {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -46,10 +57,7 @@
 }
 
 func (p *Process) health(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
-	p.mu.Lock()
-	fresh := p.chain.Fresh(time.Now())
-	p.mu.Unlock()
-	if !fresh {
+	if !p.inTouch() {
 		httpapi.Refuse(w, http.StatusServiceUnavailable, "no contact with a majority of the control processes")
 		return
 	}
--- a/internal/control/options.go
+++ b/internal/control/options.go
@@ -5,6 +5,8 @@
 import "time"
 
 const (
+	// noteEvery is how often the directory looks at the members.
+	noteEvery = time.Second
 	// tickEvery is how often the cores are told the time.
 	tickEvery = 100 * time.Millisecond
 	// answerWithin is how long a caller waits for the outcome of an order. Callers move on after a second of silence.
--- a/internal/control/process.go
+++ b/internal/control/process.go
@@ -17,6 +17,7 @@
 	"wallflow/internal/chain"
 	"wallflow/internal/chain/chainpb"
 	"wallflow/internal/config"
+	"wallflow/internal/directory"
 	"wallflow/internal/distribution"
 	"wallflow/internal/distribution/feedpb"
 	"wallflow/internal/registry"
@@ -29,11 +30,12 @@
 // Process is one control process. Its cores are driven under one lock; what they want sent, written and answered is carried out
 // by the functions of this package.
 type Process struct {
-	settings *settings.Settings
-	log      *slog.Logger
-	mesh     *transport.Mesh
-	traffic  transport.Reporter
-	writer   *writer
+	settings  *settings.Settings
+	log       *slog.Logger
+	mesh      *transport.Mesh
+	traffic   transport.Reporter
+	writer    *writer
+	directory *directory.Directory
 
 	mu        sync.Mutex
 	chain     *chain.Node
@@ -63,6 +65,7 @@
 		replicas: newReplicationWaits(),
 	}
 	p.writer = newWriter(store.file, p.written)
+	p.directory = p.newDirectory()
 	now := time.Now()
 	node, first, err := chain.New(chain.Options{
 		Self:         chain.Member{Name: set.Node, Address: set.InternalAddress(), Zone: set.Zone, Region: set.Region},
@@ -127,6 +130,7 @@
 func (p *Process) Run(ctx context.Context) {
 	ticker := time.NewTicker(tickEvery)
 	defer ticker.Stop()
+	var noted time.Time
 	for {
 		select {
 		case <-ctx.Done():
@@ -134,6 +138,10 @@
 		case now := <-ticker.C:
 			p.tick(now)
 			p.traffic.Tick(now)
+			if now.Sub(noted) >= noteEvery {
+				noted = now
+				p.directory.Note()
+			}
 		}
 	}
 }
--- a/internal/dataplane/process.go
+++ b/internal/dataplane/process.go
@@ -229,10 +229,11 @@
 
 // DirectoryHandler serves clients that ask where to go.
 func (p *Process) DirectoryHandler() http.Handler {
-	return directory.NewHandler(directory.Options{
+	return directory.New(directory.Options{
 		Members: p.listMembers,
 		HoldMax: p.settings.Bounds.TTLMax(),
-	})
+		Region:  p.settings.Region,
+	}).Handler()
 }
 
 func (p *Process) listMembers() []swim.Member {
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -23,6 +23,42 @@
 type Options struct {
 	Members func() []swim.Member // all that are believed to live; called from several goroutines
 	HoldMax time.Duration        // the longest time that a client holds an answer; 0: no bound
+	Region  string               // of this process
+	// InTouch tells whether this process is in touch with a majority of the control processes; nil: it always is.
+	InTouch func() bool
+	Now     func() time.Time // nil: the time of day
+}
+
+// Directory answers clients that ask where to go.
+type Directory struct {
+	options Options
+	memory  memory
+}
+
+// New returns a directory.
+func New(options Options) *Directory {
+	if options.Now == nil {
+		options.Now = time.Now
+	}
+	return &Directory{options: options, memory: memory{region: options.Region}}
+}
+
+// Note looks at the members, so that the directory remembers them if they get lost. It is to be called every second or so.
+func (d *Directory) Note() {
+	d.memory.note(d.options.Now(), d.options.Members())
+}
+
+// addresses are the relays for a client. A directory that is cut off from all other regions names the relays that it has lost as well:
+// clients may reach them, and those near may be unable to serve what has its home elsewhere.
+func (d *Directory) addresses(zone, region string) []string {
+	members := d.options.Members()
+	now := d.options.Now()
+	d.memory.note(now, members)
+	nearest := Nearest(members, zone, region)
+	if d.options.InTouch == nil || d.options.InTouch() {
+		return nearest
+	}
+	return sample(append(nearest, d.memory.lost(now)...))
 }
 
 // Resolution is the answer of the directory.
@@ -31,17 +67,17 @@
 	TTLS      int      `json:"ttlS"`
 }
 
-// NewHandler serves GET /resolve.
-func NewHandler(options Options) http.Handler {
+// Handler serves GET /resolve.
+func (d *Directory) Handler() http.Handler {
 	router := httpapi.NewRouter()
 	router.GET("/resolve", func(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
 		query := r.URL.Query()
-		addresses := Nearest(options.Members(), query.Get("zone"), query.Get("region"))
+		addresses := d.addresses(query.Get("zone"), query.Get("region"))
 		if len(addresses) == 0 {
 			httpapi.Refuse(w, http.StatusServiceUnavailable, "no relay is ready")
 			return
 		}
-		httpapi.AnswerJSON(w, http.StatusOK, Resolution{Addresses: addresses, TTLS: options.holdSeconds()})
+		httpapi.AnswerJSON(w, http.StatusOK, Resolution{Addresses: addresses, TTLS: d.options.holdSeconds()})
 	})
 	return router
 }
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -53,7 +53,7 @@
 
 func TestResolveAnswersAsTheProtocolSays(t *testing.T) {
 	members := []swim.Member{relay("10.1.0.10", "a", "r")}
-	handler := NewHandler(Options{Members: func() []swim.Member { return members }, HoldMax: 5 * time.Second})
+	handler := New(Options{Members: func() []swim.Member { return members }, HoldMax: 5 * time.Second}).Handler()
 	recorder := httptest.NewRecorder()
 	handler.ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/resolve?name=h.example&region=r&zone=a", nil))
 	assert.Equal(t, recorder.Code, http.StatusOK)
@@ -73,3 +73,42 @@
 	assert.Equal(t, Options{HoldMax: time.Minute}.holdSeconds(), 2)
 	assert.Equal(t, Options{}.holdSeconds(), 2)
 }
+
+// A directory that is cut off from every other region names the relays that it has lost beside the near ones.
+func TestDirectoryThatIsCutOffNamesWhatItLost(t *testing.T) {
+	near, same, far := relay("near", "a", "r"), relay("same", "b", "r"), relay("far", "c", "s")
+	members := []swim.Member{near, same, far}
+	now := time.Unix(1000, 0)
+	inTouch := true
+	d := New(Options{
+		Members: func() []swim.Member { return members },
+		Region:  "r",
+		InTouch: func() bool { return inTouch },
+		Now:     func() time.Time { return now },
+	})
+	d.Note()
+	members = []swim.Member{near, same}
+	now = now.Add(time.Second)
+	assert.DeepEqual(t, d.addresses("a", "r"), []string{"near:80"}) // a region is lost, and this side goes on
+	inTouch = false
+	assert.DeepEqual(t, d.addresses("a", "r"), []string{"near:80", "far:80"})
+	now = now.Add(rememberFor)
+	assert.DeepEqual(t, d.addresses("a", "r"), []string{"near:80"}) // lost for too long
+}
+
+// One that has lost the other control processes alone still hears relays elsewhere, and answers as ever.
+func TestDirectoryThatHearsOtherRegionsIsNotCutOff(t *testing.T) {
+	near, far, gone := relay("near", "a", "r"), relay("far", "c", "s"), relay("gone", "d", "u")
+	members := []swim.Member{near, far, gone}
+	now := time.Unix(1000, 0)
+	d := New(Options{
+		Members: func() []swim.Member { return members },
+		Region:  "r",
+		InTouch: func() bool { return false },
+		Now:     func() time.Time { return now },
+	})
+	d.Note()
+	members = []swim.Member{near, far}
+	now = now.Add(time.Second)
+	assert.DeepEqual(t, d.addresses("a", "r"), []string{"near:80"})
+}
