--- a/internal/distribution/hints.go
+++ b/internal/distribution/hints.go
@@ -1,6 +1,7 @@
 package distribution
 
 import (
+	"cmp"
 	"time"
 
 	"wallflow/internal/distribution/feedpb"
@@ -40,7 +41,7 @@
 	if o.Peers == 0 {
 		o.Peers = defaultHintPeers
 	}
-	setDefault(&o.Age, defaultHintAge)
+	o.Age = cmp.Or(o.Age, defaultHintAge)
 	return o
 }
 
--- a/internal/distribution/subscriber.go
+++ b/internal/distribution/subscriber.go
@@ -1,6 +1,7 @@
 package distribution
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -39,23 +40,17 @@
 }
 
 func (o SubscriberOptions) withDefaults() SubscriberOptions {
-	setDefault(&o.SilentAfter, defaultSilentAfter)
-	setDefault(&o.AskTimeout, defaultAskTimeout)
-	setDefault(&o.AskInterval, defaultAskInterval)
-	setDefault(&o.RenewInterval, defaultRenewInterval)
-	setDefault(&o.ReturnAfter, defaultReturnAfter)
-	setDefault(&o.KeepUnlisted, defaultKeepUnlisted)
-	setDefault(&o.RelistAfter, defaultRelistAfter)
-	setDefault(&o.Tombstone, defaultTombstone)
+	o.SilentAfter = cmp.Or(o.SilentAfter, defaultSilentAfter)
+	o.AskTimeout = cmp.Or(o.AskTimeout, defaultAskTimeout)
+	o.AskInterval = cmp.Or(o.AskInterval, defaultAskInterval)
+	o.RenewInterval = cmp.Or(o.RenewInterval, defaultRenewInterval)
+	o.ReturnAfter = cmp.Or(o.ReturnAfter, defaultReturnAfter)
+	o.KeepUnlisted = cmp.Or(o.KeepUnlisted, defaultKeepUnlisted)
+	o.RelistAfter = cmp.Or(o.RelistAfter, defaultRelistAfter)
+	o.Tombstone = cmp.Or(o.Tombstone, defaultTombstone)
 	return o
 }
 
-func setDefault(field *time.Duration, value time.Duration) {
-	if *field == 0 {
-		*field = value
-	}
-}
-
 // Subscriber holds what a relay knows of the configuration and the instances, and keeps it up to date from one source at a
 // time. It isn't safe for use by several goroutines at once.
 type Subscriber struct {
--- a/internal/emulator/endpoint.go
+++ b/internal/emulator/endpoint.go
@@ -1,6 +1,7 @@
 package emulator
 
 import (
+	"cmp"
 	"errors"
 	"log/slog"
 	"net"
@@ -46,15 +47,15 @@
 )
 
 func (o Options) withDefaults() Options {
-	setDefault(&o.Listen, "127.0.0.1:0")
-	setDefault(&o.HealthPath, defaultHealthPath)
-	setDefault(&o.Generation, "v1")
-	setDefault(&o.Model, "m")
-	setDefault(&o.Version, 1)
-	setDefault(&o.ReportLag, defaultReportLag)
-	setDefault(&o.Heartbeat, defaultHeartbeat)
-	setDefault(&o.Shop.Slots, defaultShopSlots)
-	setDefault(&o.Shop.Queue, defaultShopQueue)
+	o.Listen = cmp.Or(o.Listen, "127.0.0.1:0")
+	o.HealthPath = cmp.Or(o.HealthPath, defaultHealthPath)
+	o.Generation = cmp.Or(o.Generation, "v1")
+	o.Model = cmp.Or(o.Model, "m")
+	o.Version = cmp.Or(o.Version, 1)
+	o.ReportLag = cmp.Or(o.ReportLag, defaultReportLag)
+	o.Heartbeat = cmp.Or(o.Heartbeat, defaultHeartbeat)
+	o.Shop.Slots = cmp.Or(o.Shop.Slots, defaultShopSlots)
+	o.Shop.Queue = cmp.Or(o.Shop.Queue, defaultShopQueue)
 	if o.Engine != nil {
 		engine := o.Engine.WithDefaults()
 		o.Engine = &engine
--- a/internal/emulator/options.go
+++ b/internal/emulator/options.go
@@ -1,6 +1,9 @@
 package emulator
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // EngineOptions describe an engine. Zero values stand for those of DefaultEngine.
 type EngineOptions struct {
@@ -33,21 +36,13 @@
 
 // WithDefaults puts the default where nothing was given.
 func (o EngineOptions) WithDefaults() EngineOptions {
-	setDefault(&o.Slots, defaultSlots)
-	setDefault(&o.Queue, defaultQueue)
-	setDefault(&o.KVCapacity, defaultKVCapacity)
-	setDefault(&o.Step, defaultStep)
-	setDefault(&o.StepPerJob, defaultStepPerJob)
-	setDefault(&o.PrefillPerMs, defaultPrefillPerMs)
-	setDefault(&o.ChunkTokens, defaultChunkTokens)
-	setDefault(&o.TokensPerEvent, defaultTokensPerEvent)
+	o.Slots = cmp.Or(o.Slots, defaultSlots)
+	o.Queue = cmp.Or(o.Queue, defaultQueue)
+	o.KVCapacity = cmp.Or(o.KVCapacity, defaultKVCapacity)
+	o.Step = cmp.Or(o.Step, defaultStep)
+	o.StepPerJob = cmp.Or(o.StepPerJob, defaultStepPerJob)
+	o.PrefillPerMs = cmp.Or(o.PrefillPerMs, defaultPrefillPerMs)
+	o.ChunkTokens = cmp.Or(o.ChunkTokens, defaultChunkTokens)
+	o.TokensPerEvent = cmp.Or(o.TokensPerEvent, defaultTokensPerEvent)
 	return o
 }
-
-// setDefault puts a value where none was given.
-func setDefault[T comparable](field *T, value T) {
-	var none T
-	if *field == none {
-		*field = value
-	}
-}
--- a/internal/registry/table.go
+++ b/internal/registry/table.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"cmp"
 	"time"
 )
 
@@ -32,22 +33,16 @@
 
 func (o Options) withDefaults() Options {
 	interval := float64(o.HeartbeatInterval)
-	setDefault(&o.SilentAfter, time.Duration(defaultSilentIntervals*interval))
-	setDefault(&o.GoneAfter, time.Duration(defaultGoneIntervals*interval))
-	setDefault(&o.CompleteAfter, time.Duration(defaultCompleteIntervals*interval))
-	setDefault(&o.DigestInterval, defaultDigestInterval)
-	setDefault(&o.Tombstone, defaultTombstone)
-	setDefault(&o.ResendInterval, defaultResendInterval)
-	setDefault(&o.ResendFor, defaultResendFor)
+	o.SilentAfter = cmp.Or(o.SilentAfter, time.Duration(defaultSilentIntervals*interval))
+	o.GoneAfter = cmp.Or(o.GoneAfter, time.Duration(defaultGoneIntervals*interval))
+	o.CompleteAfter = cmp.Or(o.CompleteAfter, time.Duration(defaultCompleteIntervals*interval))
+	o.DigestInterval = cmp.Or(o.DigestInterval, defaultDigestInterval)
+	o.Tombstone = cmp.Or(o.Tombstone, defaultTombstone)
+	o.ResendInterval = cmp.Or(o.ResendInterval, defaultResendInterval)
+	o.ResendFor = cmp.Or(o.ResendFor, defaultResendFor)
 	return o
 }
 
-func setDefault(field *time.Duration, value time.Duration) {
-	if *field == 0 {
-		*field = value
-	}
-}
-
 // Change is what an input did to one instance.
 type Change struct {
 	Instance Instance
--- a/internal/transport/options.go
+++ b/internal/transport/options.go
@@ -1,6 +1,7 @@
 package transport
 
 import (
+	"cmp"
 	"log/slog"
 	"time"
 )
@@ -63,21 +64,15 @@
 	if o.Logger == nil {
 		o.Logger = slog.New(slog.DiscardHandler)
 	}
-	setDefault(&o.QueueMessages, defaultQueueMessages)
-	setDefault(&o.QueueBytes, defaultQueueBytes)
-	setDefault(&o.MaxAccepted, defaultMaxAccepted)
-	setDefault(&o.QueueAge, defaultQueueAge)
-	setDefault(&o.DialTimeout, defaultDialTimeout)
-	setDefault(&o.BackoffFloor, defaultBackoffFloor)
-	setDefault(&o.BackoffCeiling, defaultBackoffCeiling)
-	setDefault(&o.UserTimeout, defaultUserTimeout)
-	setDefault(&o.WriteTimeout, defaultWriteTimeout)
-	setDefault(&o.IdleTimeout, defaultIdleTimeout)
+	o.QueueMessages = cmp.Or(o.QueueMessages, defaultQueueMessages)
+	o.QueueBytes = cmp.Or(o.QueueBytes, defaultQueueBytes)
+	o.MaxAccepted = cmp.Or(o.MaxAccepted, defaultMaxAccepted)
+	o.QueueAge = cmp.Or(o.QueueAge, defaultQueueAge)
+	o.DialTimeout = cmp.Or(o.DialTimeout, defaultDialTimeout)
+	o.BackoffFloor = cmp.Or(o.BackoffFloor, defaultBackoffFloor)
+	o.BackoffCeiling = cmp.Or(o.BackoffCeiling, defaultBackoffCeiling)
+	o.UserTimeout = cmp.Or(o.UserTimeout, defaultUserTimeout)
+	o.WriteTimeout = cmp.Or(o.WriteTimeout, defaultWriteTimeout)
+	o.IdleTimeout = cmp.Or(o.IdleTimeout, defaultIdleTimeout)
 	return o
 }
-
-func setDefault[T int | time.Duration](value *T, standard T) {
-	if *value == 0 {
-		*value = standard
-	}
-}
