Tell a subscriber that lags and lacks nothing where its source stands

Cause (a walk of TestWalkEveryRelayLearnsAll, one of some thousands): a relay missed a push whose content it had from elsewhere, asked from its old position, and got no answer, as it lacked nothing. It took itself for behind for good, asked every 300 ms, and kept an endpoint that was gone as ready, since neither a listing nor a comparison of hashes is made while something is missing. Change: only one that is where the publisher stands gets no answer.

--- a/internal/distribution/answer.go
+++ b/internal/distribution/answer.go
@@ -37,16 +37,16 @@
 	}
 }
 
-// answer sends a subscriber what it lacks. One that renews and lacks nothing gets no answer.
+// answer sends a subscriber what it lacks. One that renews and is where the publisher stands gets no answer. One that lags and lacks
+// nothing does: it has to learn that it lags no more.
 func (p *Publisher) answer(now time.Time, from string, request *feedpb.Subscribe, renewed bool) Output {
 	config := p.config.since(now, request.GetRevision())
 	var updates []*feedpb.Update
 	if p.canResume(request) {
-		missing := p.order.since(request.GetSequence())
-		if renewed && len(missing) == 0 && config == nil {
+		if renewed && request.GetSequence() == p.sequence && config == nil {
 			return Output{}
 		}
-		updates = p.split(now, missing)
+		updates = p.split(now, p.order.since(request.GetSequence()))
 		for _, update := range updates {
 			update.Base = request.GetSequence()
 		}
--- a/internal/distribution/distribution_test.go
+++ b/internal/distribution/distribution_test.go
@@ -449,3 +449,20 @@
 	assert.Assert(t, asked <= 6, "%d messages in 10 s", asked)
 	assert.Assert(t, slices.Equal(relay.ordered, []string{"c1", "c2"}))
 }
+
+// A subscriber that missed a push and has what was in it from elsewhere asks where its source stands, and is told: else it would take
+// itself for behind for good, and drop nothing that the source doesn't list.
+func TestSubscriberThatLagsAndLacksNothingIsTold(t *testing.T) {
+	w, relay := calmWorld()
+	w.fate = func(_, _ string) []time.Duration { return nil }
+	w.setConfig(wholeUpdate(2, "two"), "c1")
+	w.fate = nil
+	elsewhere := &feedpb.FeedMessage{Source: "c2", Update: &feedpb.Update{Config: &feedpb.ConfigUpdate{
+		Revision: 2, Generation: 20, Whole: true, Document: []byte("two"),
+	}}}
+	w.take("r1", relay.Receive(w.now, "c2", elsewhere))
+	w.run(2 * time.Second)
+	assert.Equal(t, relay.Config().Revision, uint64(2))
+	assert.Equal(t, relay.current.sequence, w.publishers["c1"].sequence)
+	assert.Assert(t, !relay.current.gap)
+}
