Take a learner for caught up by what was committed a while ago

A wiped voter stayed without a vote, and the loss of the next disk, more than syncS later, stopped the core for good. Change: a learner that holds what was committed 0.6 s ago is caught up as well.

--- a/internal/chain/beat.go
+++ b/internal/chain/beat.go
@@ -22,6 +22,7 @@
 func (n *Node) sendBeat() {
 	n.beat++
 	n.beatSentAt = n.now
+	n.markCommitted()
 	if n.beatUnheard.IsZero() {
 		n.beatUnheard = n.now
 	}
--- a/internal/chain/failure_test.go
+++ b/internal/chain/failure_test.go
@@ -305,3 +305,40 @@
 		s.finish()
 	}
 }
+
+// A wiped voter is replaced while hundreds of changes a second go through, whose newest it always lacks when its word arrives.
+func TestWipedUnderManyChanges(t *testing.T) {
+	for seed := range int64(6) {
+		s := settled(t, seed, 3)
+		_, rest := (&walk{simulation: s}).chainAndRest()
+		victim := rest[0]
+		former := victim.node.Identity()
+		s.trouble.minimumDelay = 50 * time.Millisecond
+		s.manyChanges(2 * time.Millisecond)
+		s.run(200 * time.Millisecond)
+		victim.kill(true)
+		victim.wipe()
+		s.run(150 * time.Millisecond)
+		victim.start(false)
+		took := s.until(4*time.Second, func() bool {
+			_, stays := s.newestView().Voter(former)
+			_, votes := s.newestView().Voter(victim.node.Identity())
+			return votes && !stays
+		})
+		t.Logf("a voter after %v", took)
+	}
+}
+
+// manyChanges has the head take a change each so often.
+func (s *simulation) manyChanges(interval time.Duration) {
+	number := 0
+	var next func()
+	next = func() {
+		number++
+		if head := s.byIdentity(s.newestView().Head()); head != nil && head.up {
+			head.submit(fmt.Sprint("many-", number), func(Answer) {})
+		}
+		s.after(interval, next)
+	}
+	next()
+}
--- a/internal/chain/voters.go
+++ b/internal/chain/voters.go
@@ -11,13 +11,43 @@
 // candidate is a process that asks to become a voter.
 type candidate struct {
 	member   Member
-	position uint64
+	caughtUp bool // as of its newest hello
 	since    time.Time
 	heardAt  time.Time
 }
 
-// caughtUp is how many entries a learner may lack to be taken as a voter.
-const caughtUp = 16
+// A learner may be taken as a voter if it lacks few entries, or holds what was committed a while ago: where many changes go through, it
+// always lacks those of the time in which its word comes here.
+const (
+	caughtUpEntries = 16
+	caughtUpWithin  = 600 * time.Millisecond
+	marksHeld       = 4
+)
+
+// commitMark remembers what was committed at a time.
+type commitMark struct {
+	at       time.Time
+	position uint64
+}
+
+// markCommitted keeps what is committed now for comparisons with learners.
+func (n *Node) markCommitted() {
+	copy(n.marks[1:], n.marks[:marksHeld-1])
+	n.marks[0] = commitMark{at: n.now, position: n.log.committed}
+}
+
+// isCaughtUp tells whether a learner at a position may become a voter.
+func (n *Node) isCaughtUp(position uint64) bool {
+	if position+caughtUpEntries >= n.log.committed {
+		return true
+	}
+	for _, mark := range n.marks {
+		if !mark.at.IsZero() && n.now.Sub(mark.at) >= caughtUpWithin {
+			return position >= mark.position
+		}
+	}
+	return false
+}
 
 // tickLearner makes a process that has no vote known: to the seeds while it knows no view, then to the head.
 func (n *Node) tickLearner() {
@@ -54,7 +84,7 @@
 		}
 		n.candidates[sender] = each
 	}
-	each.member, each.position, each.heardAt = member, hello.Position, n.now
+	each.member, each.caughtUp, each.heardAt = member, n.isCaughtUp(hello.Position), n.now
 }
 
 // tickVoters lets the head of an active epoch change the voters, by one at a time.
@@ -125,7 +155,7 @@
 func (n *Node) readyCandidates() []*candidate {
 	var ready []*candidate
 	for _, each := range n.candidates {
-		if each.position+caughtUp >= n.log.committed && !n.isDead(each.member.Identity) {
+		if each.caughtUp && !n.isDead(each.member.Identity) {
 			ready = append(ready, each)
 		}
 	}
--- a/internal/smallsystem/core_test.go
+++ b/internal/smallsystem/core_test.go
@@ -70,14 +70,24 @@
 	for _, machine := range l.control {
 		c.start(machine, true)
 	}
-	t.Cleanup(func() {
-		for _, process := range c.running {
-			process.End()
-		}
-	})
+	t.Cleanup(c.end)
 	return c
 }
 
+// end ends all processes, and shows what they logged if the test has failed.
+func (c *core) end() {
+	for _, process := range c.running {
+		process.End()
+	}
+	if !c.t.Failed() {
+		return
+	}
+	for _, machine := range c.layout.control {
+		text, err := os.ReadFile(filepath.Join(c.folder(machine), logName))
+		c.t.Logf("log of %s (%v):\n%s", machine.name, err, text)
+	}
+}
+
 func (c *core) folder(machine machine) string { return filepath.Join(c.dir, machine.name) }
 func (c *core) store(machine machine) string  { return filepath.Join(c.folder(machine), storeName) }
 
