--- a/internal/dataplane/peers.go
+++ b/internal/dataplane/peers.go
@@ -99,6 +99,7 @@
 // takePeers tells the selector of the relays around when they have changed.
 func (p *Process) takePeers(now time.Time) {
 	p.takeDoubts()
+	p.logDarkZones()
 	view := p.viewPeers()
 	view.mayOwn = p.ownership.update(now, p.subscriber.Fresh(now))
 	if view.equal(p.peers) {
@@ -112,6 +113,18 @@
 	proxy.WakeAll(p.selector)
 }
 
+// logDarkZones says which zones the selector leaves alone, when that has changed.
+func (p *Process) logDarkZones() {
+	p.selectorLock.Lock()
+	dark := p.selector.DarkZones()
+	p.selectorLock.Unlock()
+	if slices.Equal(dark, p.darkZones) {
+		return
+	}
+	p.darkZones = dark
+	p.log.Info("zones from which nothing comes", "zones", dark)
+}
+
 // takeDoubts tells the selector in which zones nobody is heard any more, of those where somebody was.
 func (p *Process) takeDoubts() {
 	alive := make(map[string]bool)
--- a/internal/dataplane/process.go
+++ b/internal/dataplane/process.go
@@ -51,6 +51,7 @@
 	peers      peerView                // as the selector was last told
 	sources    []string
 	seenZones  map[string]bool // zones in which a process was alive at some time
+	darkZones  []string        // as logged last
 	doubted    map[string]bool // of those, the ones in which none is now
 	ownership  ownership
 	leaving    bool
--- a/internal/selector/zonewatch.go
+++ b/internal/selector/zonewatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -106,6 +107,18 @@
 	}
 }
 
+// DarkZones lists the zones that are left alone since nothing comes from them, in order of the name.
+func (s *Selector) DarkZones() []string {
+	var dark []string
+	for zone, watch := range s.watches {
+		if watch.dark {
+			dark = append(dark, zone)
+		}
+	}
+	slices.Sort(dark)
+	return dark
+}
+
 // zoneFree is when an endpoint may be sent something as far as its zone goes.
 func (s *Selector) zoneFree(now time.Time, endpoint *endpoint) time.Time {
 	watch := endpoint.watch
--- a/internal/selector/zonewatch_test.go
+++ b/internal/selector/zonewatch_test.go
@@ -48,7 +48,7 @@
 	for _, zone := range f.hang(4, time.Millisecond) {
 		assert.Equal(t, zone, lastZone)
 	}
-	assert.Assert(t, f.s.watchOf(homeZone).dark)
+	assert.DeepEqual(t, f.s.DarkZones(), []string{homeZone})
 }
 
 // One byte from the zone ends it.
