Answered requests hide no silent ones of their zone

Cause (found by reading): the requests to a zone that wait are kept in the order of sending, and only the first 24 are looked at; with the oldest hanging, answered ones behind it could fill those. They are left out now. TestAnsweredRequestsHideNoSilence.

--- a/internal/selector/zonewatch.go
+++ b/internal/selector/zonewatch.go
@@ -58,13 +58,16 @@
 	z.unanswered = append(z.unanswered, attempt)
 }
 
-// prune leaves out the oldest requests that were answered or have ended.
+// prune leaves out the oldest requests that were answered or have ended, and all such where many stand behind one that waits.
 func (z *zoneWatch) prune() {
 	kept := 0
 	for kept < len(z.unanswered) && !z.unanswered[kept].waits() {
 		kept++
 	}
 	z.unanswered = z.unanswered[kept:]
+	if len(z.unanswered) > darkLook {
+		z.unanswered = slices.DeleteFunc(z.unanswered, func(attempt *Attempt) bool { return !attempt.waits() })
+	}
 }
 
 // silent tells whether enough requests are overdue with nothing heard since they were sent.
--- a/internal/selector/zonewatch_test.go
+++ b/internal/selector/zonewatch_test.go
@@ -118,3 +118,20 @@
 	f.sent(f.request("query"))
 	assert.Assert(t, !f.s.watchOf(homeZone).dark, "it stood still for 3 s")
 }
+
+// Requests that were answered don't hide the silent ones behind them, however long the oldest one waits.
+func TestAnsweredRequestsHideNoSilence(t *testing.T) {
+	f := zonesOfTwo(t)
+	f.sent(f.request("query"))
+	for range 3 * darkLook {
+		f.served(f.sent(f.request("query")), time.Millisecond)
+	}
+	f.after(time.Millisecond)
+	f.hang(darkAfter, 0)
+	for range 8 {
+		f.after(100 * time.Millisecond)
+		f.heardFrom(lastZone)
+		f.s.noteAwake(f.now)
+	}
+	assert.Equal(t, f.sent(f.request("query")).Instance.Zone, lastZone)
+}
