--- a/internal/config/bench_test.go
+++ b/internal/config/bench_test.go
@@ -74,3 +74,24 @@
 		})
 	}
 }
+
+// BenchmarkChangeAtARelay applies a change of one route and reads the document, as a relay does.
+func BenchmarkChangeAtARelay(b *testing.B) {
+	for _, routes := range []int{routesOfLarge, 4 * routesOfLarge} {
+		text := largeDocument(routes)
+		change := []byte(`{"generation":2,"upsert":{"routes":[{"name":"r-00001","host":"n","pathPrefix":"/","kind":"safe","timeoutMs":9,"backend":"b-1"}]}}`)
+		var reader config.Reader
+		_, err := reader.Read(text)
+		assert.NilError(b, err)
+		b.Run(fmt.Sprint(routes), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				changed, err := config.ApplyTrustedPatch(text, change)
+				assert.NilError(b, err)
+				document, err := reader.Read(changed)
+				assert.NilError(b, err)
+				config.Compile(document)
+			}
+		})
+	}
+}
