A relay never doubts its own zone

Cause (found by reading): a relay that is the last process of its zone counted its zone as one in which nobody is heard, and would have left it after two overdue requests in place of four.

--- a/internal/dataplane/peers.go
+++ b/internal/dataplane/peers.go
@@ -125,7 +125,7 @@
 	p.log.Info("zones from which nothing comes", "zones", dark)
 }
 
-// takeDoubts tells the selector in which zones nobody is heard any more, of those where somebody was.
+// takeDoubts tells the selector in which other zones nobody is heard any more, of those where somebody was.
 func (p *Process) takeDoubts() {
 	alive := make(map[string]bool)
 	for _, member := range p.members.Members() {
@@ -135,7 +135,7 @@
 	}
 	doubted := make(map[string]bool)
 	for zone := range p.seenZones {
-		if !alive[zone] {
+		if !alive[zone] && zone != p.settings.Zone {
 			doubted[zone] = true
 		}
 	}
