--- a/cmd/wallflow/experiment.go
+++ b/cmd/wallflow/experiment.go
@@ -16,7 +16,7 @@
 // experimentOptions are the flags of the experiment command.
 type experimentOptions struct {
 	regions, relays, engines, seeds int
-	chunk                           int
+	chunk, slots                    int
 	load                            float64
 	span                            time.Duration
 	seed                            uint64
@@ -39,6 +39,7 @@
 			intFlag(&o.relays, "relays", 6, "relays in all"),
 			intFlag(&o.engines, "engines", 12, "engines in all"),
 			intFlag(&o.chunk, "chunk", 4096, "prompt tokens that an engine reads in one step at most"),
+			intFlag(&o.slots, "slots", 64, "requests that an engine runs at once"),
 			floatFlag(&o.load, "load", 1, "times the load of the known deployments"),
 			timeFlag(&o.span, "for", 20*time.Second, "virtual time in which requests arrive"),
 			intFlag(&o.seeds, "seeds", 5, "plays of each way of choosing"),
@@ -68,7 +69,7 @@
 		Regions: o.regions,
 		Relays:  o.relays,
 		Engines: o.engines,
-		Engine:  emulator.EngineOptions{ChunkTokens: o.chunk},
+		Engine:  emulator.EngineOptions{ChunkTokens: o.chunk, Slots: o.slots},
 		Load:    experiment.DefaultLoad(o.engines, o.load),
 		For:     o.span,
 		Seed:    o.seed,
