--- a/internal/smallsystem/core_test.go
+++ b/internal/smallsystem/core_test.go
@@ -330,3 +330,47 @@
 
 // foundingSpan is about how long three processes take to found a system.
 const foundingSpan = 2 * time.Second
+
+// Two operators build on the same version while processes are killed: one of them wins, however often both send, and what it sent is in
+// force.
+func TestOneOfTwoOperatorsWins(t *testing.T) {
+	c := newCore(t, buildControl(t), 1)
+	const rounds = 12
+	for version := uint64(1); version <= rounds; version++ {
+		statuses := c.race(version)
+		assert.Equal(t, statuses[0]+statuses[1], http.StatusOK+http.StatusPreconditionFailed, "version %d: %v", version, statuses)
+		winner := 0
+		if statuses[1] == http.StatusOK {
+			winner = 1
+		}
+		status := c.order(http.MethodPut, "/config", fmt.Sprint(version-1), changeOf(winner, version))
+		assert.Equal(t, status, http.StatusOK, "the winner's order, sent again")
+		status = c.order(http.MethodPut, "/config", fmt.Sprint(version-1), changeOf(1-winner, version))
+		assert.Equal(t, status, http.StatusPreconditionFailed, "the loser's order, sent again")
+	}
+}
+
+// race sends the changes of two operators at the same moment, with a process killed meanwhile, and returns what they were told.
+func (c *core) race(version uint64) (statuses [2]int) {
+	c.t.Helper()
+	done := make(chan int, len(statuses))
+	for operator := range statuses {
+		go func() {
+			statuses[operator] = c.order(http.MethodPut, "/config", fmt.Sprint(version-1), changeOf(operator, version))
+			done <- operator
+		}()
+	}
+	victim := c.anyMachine()
+	c.pause(0, 20*time.Millisecond)
+	c.kill(victim)
+	c.start(victim, false)
+	for range statuses {
+		<-done
+	}
+	return statuses
+}
+
+// changeOf is a change of one operator; that of another for the same version differs.
+func changeOf(operator int, version uint64) string {
+	return strings.Replace(change(version), `"timeoutMs":10`, fmt.Sprintf(`"timeoutMs":%d`, 10+operator), 1)
+}
