Let each failure cost an endpoint before it is skipped

Change: each of the last eight outcomes that failed adds 300 ms to what an endpoint costs in comparisons; half is forgotten in 5 s.

--- a/internal/selector/estimate.go
+++ b/internal/selector/estimate.go
@@ -56,7 +56,7 @@
 	e.wait += e.late
 	e.travel = s.travel(endpoint)
 	e.cost += e.first() + s.prices(request, endpoint)
-	e.cost += s.suspicion(now, endpoint)
+	e.cost += s.suspicion(now, endpoint) + endpoint.health.penalty(now)
 	return e
 }
 
--- a/internal/selector/health.go
+++ b/internal/selector/health.go
@@ -1,6 +1,7 @@
 package selector
 
 import (
+	"math"
 	"math/bits"
 	"time"
 )
@@ -11,6 +12,9 @@
 	// patienceFactor and patienceLeast say when an answer is overdue, beyond what was expected.
 	patienceFactor = 2
 	patienceLeast  = 400 * time.Millisecond
+	// failureCostMs and failureMemory say what a failure costs an endpoint, and when half of that is forgotten.
+	failureCostMs = 300
+	failureMemory = 5 * time.Second
 )
 
 // health is what the outcomes at an endpoint say of it.
@@ -19,6 +23,7 @@
 	recent  uint8     // last eight outcomes, a bit set for a failure
 	heardAt time.Time // something came from it
 	backAt  time.Time // first success after a skip
+	failAt  time.Time // the newest failure
 }
 
 func (h *health) heard(now time.Time) {
@@ -28,7 +33,20 @@
 
 func (h *health) succeeded() { h.recent <<= 1 }
 
-func (h *health) failed() { h.recent = h.recent<<1 | 1 }
+func (h *health) failed(now time.Time) {
+	h.recent = h.recent<<1 | 1
+	h.failAt = now
+}
+
+// penalty is what each recent failure adds to the cost of an endpoint, in milliseconds. In a large fleet a relay meets a bad endpoint too
+// seldom to skip it, and one that fails at once looks free.
+func (h *health) penalty(now time.Time) float64 {
+	if h.recent == 0 {
+		return 0
+	}
+	fade := math.Exp2(-now.Sub(h.failAt).Seconds() / failureMemory.Seconds())
+	return failureCostMs * float64(bits.OnesCount8(h.recent)) * fade
+}
 
 func (h *health) mostlyFailing() bool { return bits.OnesCount8(h.recent) >= recentSkip }
 
--- a/internal/selector/outcome.go
+++ b/internal/selector/outcome.go
@@ -133,7 +133,7 @@
 		attempt.endpoint.heard(now)
 	case EndpointError:
 		attempt.endpoint.heard(now)
-		health.failed()
+		health.failed(now)
 	case TimedOut:
 		if health.heardAt.After(attempt.sentAt) {
 			return // it answered others meanwhile: slow, not gone
@@ -141,7 +141,7 @@
 		health.streak++
 	default:
 		health.streak++
-		health.failed()
+		health.failed(now)
 	}
 	s.judge(attempt.endpoint, &evidence{now: now, attempt: attempt, outcome: outcome})
 }
