Lead clients to a home of the host's routes where their region has no relay

Change: among relays outside the client's region those in a home of most of the host's routes go first; while the only home stops by plan nobody outside is named.

--- a/internal/config/compiled.go
+++ b/internal/config/compiled.go
@@ -15,7 +15,8 @@
 // hostRoutes holds the routes of one host by prefix.
 type hostRoutes struct {
 	byPrefix map[string]*Route
-	lengths  []int // the lengths of the prefixes, each once, the longest first
+	lengths  []int      // the lengths of the prefixes, each once, the longest first
+	homes    [][]string // the sets of home regions of the routes that have any, each once
 }
 
 // Compile makes a valid document ready for look-ups and keeps it; the document must not change afterwards.
@@ -47,6 +48,19 @@
 	}
 	host.byPrefix[at.prefix] = route
 	host.lengths = append(host.lengths, len(at.prefix))
+	host.addHomes(route.HomeRegions)
+}
+
+// addHomes keeps a set of home regions, given in any order.
+func (h *hostRoutes) addHomes(regions []string) {
+	if len(regions) == 0 {
+		return
+	}
+	set := slices.Compact(slices.Sorted(slices.Values(regions)))
+	same := func(known []string) bool { return slices.Equal(known, set) }
+	if !slices.ContainsFunc(h.homes, same) {
+		h.homes = append(h.homes, set)
+	}
 }
 
 func (h *hostRoutes) sortLengths() {
@@ -74,6 +88,16 @@
 	return nil, false
 }
 
+// HomeRegions returns the sets of home regions of a host's routes, each set once; routes without homes add none. The host is compared
+// as in Route. The result must not be changed.
+func (c *Compiled) HomeRegions(host string) [][]string {
+	routes := c.hosts[NormalizeHost(host)]
+	if routes == nil {
+		return nil
+	}
+	return routes.homes
+}
+
 // Backend finds a service by its name.
 func (c *Compiled) Backend(name string) (*Backend, bool) {
 	backend, found := c.backends[name]
--- a/internal/config/compiled_test.go
+++ b/internal/config/compiled_test.go
@@ -137,3 +137,19 @@
 	})
 	assert.Equal(t, allocations, 0.0)
 }
+
+func TestHomeRegionsOfAHostAreListedOnce(t *testing.T) {
+	route := func(name, host string, homes ...string) config.Route {
+		return config.Route{Name: name, Host: host, PathPrefix: "/" + name + "/", HomeRegions: homes}
+	}
+	compiled := config.Compile(&config.Document{Routes: []config.Route{
+		route("a", "h.example", "r", "s"),
+		route("b", "H.example", "s", "r"),
+		route("c", "h.example"),
+		route("d", "h.example", "u"),
+		route("e", "other.example", "v"),
+	}})
+	assert.DeepEqual(t, compiled.HomeRegions("h.example:80"), [][]string{{"r", "s"}, {"u"}})
+	assert.DeepEqual(t, compiled.HomeRegions("other.example"), [][]string{{"v"}})
+	assert.Equal(t, len(compiled.HomeRegions("nobody.example")), 0)
+}
--- a/internal/control/api.go
+++ b/internal/control/api.go
@@ -40,9 +40,22 @@
 		HoldMax: p.settings.Bounds.TTLMax(),
 		Region:  p.settings.Region,
 		InTouch: p.inTouch,
+
+		HomeRegions: p.homeRegions,
 	})
 }
 
+// homeRegions returns the sets of home regions of a host's routes, by the newest configuration known here.
+func (p *Process) homeRegions(host string) [][]string {
+	p.mu.Lock()
+	state := p.published.state
+	p.mu.Unlock()
+	if state == nil || state.Compiled() == nil {
+		return nil
+	}
+	return state.Compiled().HomeRegions(host)
+}
+
 // inTouch tells whether a majority of the control processes confirmed the epoch a moment ago.
 func (p *Process) inTouch() bool {
 	p.mu.Lock()
--- a/internal/dataplane/process.go
+++ b/internal/dataplane/process.go
@@ -234,9 +234,20 @@
 		Members: p.listMembers,
 		HoldMax: p.settings.Bounds.TTLMax(),
 		Region:  p.settings.Region,
+
+		HomeRegions: p.homeRegions,
 	}).Handler()
 }
 
+// homeRegions returns the sets of home regions of a host's routes, by the configuration in force here.
+func (p *Process) homeRegions(host string) [][]string {
+	compiled := p.compiled.Load()
+	if compiled == nil {
+		return nil
+	}
+	return compiled.HomeRegions(host)
+}
+
 func (p *Process) listMembers() []swim.Member {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -24,6 +24,8 @@
 	Members func() []swim.Member // all that are believed to live; called from several goroutines
 	HoldMax time.Duration        // the longest time that a client holds an answer; 0: no bound
 	Region  string               // of this process
+	// HomeRegions returns the sets of home regions of a host's routes; nil: no route has homes. Called from several goroutines.
+	HomeRegions func(host string) [][]string
 	// InTouch tells whether this process is in touch with a majority of the control processes; nil: it always is.
 	InTouch func() bool
 	Now     func() time.Time // nil: the time of day
@@ -50,15 +52,23 @@
 
 // addresses are the relays for a client. A directory that is cut off from all other regions names the relays that it has lost as well:
 // clients may reach them, and those near may be unable to serve what has its home elsewhere.
-func (d *Directory) addresses(zone, region string) []string {
+func (d *Directory) addresses(host, zone, region string) []string {
 	members := d.options.Members()
 	now := d.options.Now()
 	d.memory.note(now, members)
-	nearest := Nearest(members, zone, region)
+	query := query{zone: zone, region: region, homes: d.homesOf(host)}
+	nearest := query.nearest(members, func() bool { return d.memory.returning(now, query) })
 	if d.options.InTouch == nil || d.options.InTouch() {
-		return nearest
+		return sample(nearest)
 	}
-	return sample(append(nearest, d.memory.lost(now)...))
+	return sample(append(nearest, d.memory.lost(now, query.homes)...))
+}
+
+func (d *Directory) homesOf(host string) homes {
+	if d.options.HomeRegions == nil {
+		return nil
+	}
+	return d.options.HomeRegions(host)
 }
 
 // Resolution is the answer of the directory.
@@ -72,7 +82,7 @@
 	router := httpapi.NewRouter()
 	router.GET("/resolve", func(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
 		query := r.URL.Query()
-		addresses := d.addresses(query.Get("zone"), query.Get("region"))
+		addresses := d.addresses(query.Get("name"), query.Get("zone"), query.Get("region"))
 		if len(addresses) == 0 {
 			httpapi.Refuse(w, http.StatusServiceUnavailable, "no relay is ready")
 			return
@@ -90,32 +100,6 @@
 	return max(1, int(hold.Seconds()))
 }
 
-// Nearest lists the relays that take traffic, of the closest ring around the client that has any: its zone, its region, all, and
-// for want of others those that are under suspicion.
-func Nearest(members []swim.Member, zone, region string) []string {
-	var inZone, inRegion, elsewhere, suspected []string
-	for _, member := range members {
-		front := member.Meta.Front
-		switch {
-		case front == "" || !member.Meta.Serving:
-		case member.Status != swim.Alive:
-			suspected = append(suspected, front)
-		case member.Meta.Zone == zone:
-			inZone = append(inZone, front)
-		case member.Meta.Region == region:
-			inRegion = append(inRegion, front)
-		default:
-			elsewhere = append(elsewhere, front)
-		}
-	}
-	for _, ring := range [][]string{inZone, inRegion, elsewhere, suspected} {
-		if len(ring) > 0 {
-			return sample(ring)
-		}
-	}
-	return nil
-}
-
 // sample draws as many of the addresses as a client takes.
 func sample(addresses []string) []string {
 	if len(addresses) <= mostAddresses {
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -20,27 +20,32 @@
 	}
 }
 
+// nearest asks for a host none of whose routes has homes.
+func nearest(members []swim.Member, zone, region string) []string {
+	return query{zone: zone, region: region}.nearest(members, func() bool { return false })
+}
+
 func TestNearestRingWithARelayIsAnswered(t *testing.T) {
 	near, same, far := relay("near", "a", "r"), relay("same", "b", "r"), relay("far", "c", "s")
 	all := []swim.Member{far, same, near}
-	assert.DeepEqual(t, Nearest(all, "a", "r"), []string{"near:80"})
-	assert.DeepEqual(t, Nearest(all, "x", "r"), []string{"same:80", "near:80"})
-	assert.DeepEqual(t, Nearest(all, "x", "y"), []string{"far:80", "same:80", "near:80"})
-	assert.DeepEqual(t, Nearest(all, "c", "s"), []string{"far:80"})
+	assert.DeepEqual(t, nearest(all, "a", "r"), []string{"near:80"})
+	assert.DeepEqual(t, nearest(all, "x", "r"), []string{"same:80", "near:80"})
+	assert.DeepEqual(t, nearest(all, "x", "y"), []string{"far:80", "same:80", "near:80"})
+	assert.DeepEqual(t, nearest(all, "c", "s"), []string{"far:80"})
 }
 
 func TestRelaysThatTakeNoTrafficAreLeftOut(t *testing.T) {
 	stopping, control := relay("stopping", "a", "r"), relay("control", "a", "r")
 	stopping.Meta.Serving = false
 	control.Meta.Front = ""
-	assert.Assert(t, Nearest([]swim.Member{stopping, control}, "a", "r") == nil)
+	assert.Assert(t, nearest([]swim.Member{stopping, control}, "a", "r") == nil)
 }
 
 func TestSuspectedRelaysAreALastResort(t *testing.T) {
 	doubted, far := relay("doubted", "a", "r"), relay("far", "c", "s")
 	doubted.Status = swim.Suspect
-	assert.DeepEqual(t, Nearest([]swim.Member{doubted, far}, "a", "r"), []string{"far:80"})
-	assert.DeepEqual(t, Nearest([]swim.Member{doubted}, "a", "r"), []string{"doubted:80"})
+	assert.DeepEqual(t, nearest([]swim.Member{doubted, far}, "a", "r"), []string{"far:80"})
+	assert.DeepEqual(t, nearest([]swim.Member{doubted}, "a", "r"), []string{"doubted:80"})
 }
 
 func TestNoMoreAddressesThanAClientTakes(t *testing.T) {
@@ -48,7 +53,8 @@
 	for number := range 200 {
 		many = append(many, relay(fmt.Sprintf("edge-%d", number), "a", "r"))
 	}
-	assert.Equal(t, len(Nearest(many, "a", "r")), mostAddresses)
+	d := New(Options{Members: func() []swim.Member { return many }})
+	assert.Equal(t, len(d.addresses("", "a", "r")), mostAddresses)
 }
 
 func TestResolveAnswersAsTheProtocolSays(t *testing.T) {
@@ -89,11 +95,11 @@
 	d.Note()
 	members = []swim.Member{near, same}
 	now = now.Add(time.Second)
-	assert.DeepEqual(t, d.addresses("a", "r"), []string{"near:80"}) // a region is lost, and this side goes on
+	assert.DeepEqual(t, d.addresses("", "a", "r"), []string{"near:80"}) // a region is lost, and this side goes on
 	inTouch = false
-	assert.DeepEqual(t, d.addresses("a", "r"), []string{"near:80", "far:80"})
+	assert.DeepEqual(t, d.addresses("", "a", "r"), []string{"near:80", "far:80"})
 	now = now.Add(rememberFor)
-	assert.DeepEqual(t, d.addresses("a", "r"), []string{"near:80"}) // lost for too long
+	assert.DeepEqual(t, d.addresses("", "a", "r"), []string{"near:80"}) // lost for too long
 }
 
 // One that has lost the other control processes alone still hears relays elsewhere, and answers as ever.
@@ -110,5 +116,5 @@
 	d.Note()
 	members = []swim.Member{near, far}
 	now = now.Add(time.Second)
-	assert.DeepEqual(t, d.addresses("a", "r"), []string{"near:80"})
+	assert.DeepEqual(t, d.addresses("", "a", "r"), []string{"near:80"})
 }
--- a/internal/directory/memory.go
+++ b/internal/directory/memory.go
@@ -11,8 +11,7 @@
 // rememberFor is how long a relay that is not heard of any more is remembered.
 const rememberFor = 20 * time.Second
 
-// memory remembers relays for the time in which this process is cut off from them. To the clients it may be the only directory near,
-// and they reach relays that it doesn't.
+// memory remembers relays that took traffic a while ago.
 type memory struct {
 	region string // own
 
@@ -20,11 +19,11 @@
 	seen map[string]sighting // by front address
 }
 
-// sighting is when a relay was last alive, and where it is.
+// sighting is when a relay last took traffic, and where it is.
 type sighting struct {
-	at     time.Time
-	zone   string
-	region string
+	at       time.Time
+	region   string
+	stopping bool // it has said since that it takes no more: it stops by plan, or starts again
 }
 
 // note takes the members that are known now.
@@ -35,9 +34,7 @@
 		m.seen = make(map[string]sighting)
 	}
 	for _, member := range members {
-		if member.Meta.Front != "" && member.Meta.Serving && member.Status == swim.Alive {
-			m.seen[member.Meta.Front] = sighting{at: now, zone: member.Meta.Zone, region: member.Meta.Region}
-		}
+		m.noteMember(now, member)
 	}
 	for front, last := range m.seen {
 		if now.Sub(last.at) > rememberFor {
@@ -46,8 +43,22 @@
 	}
 }
 
-// lost lists the relays of other regions that were alive a while ago, if none of them is alive now.
-func (m *memory) lost(now time.Time) []string {
+func (m *memory) noteMember(now time.Time, member swim.Member) {
+	front := member.Meta.Front
+	last, known := m.seen[front]
+	switch {
+	case front == "" || member.Status != swim.Alive:
+	case member.Meta.Serving:
+		m.seen[front] = sighting{at: now, region: member.Meta.Region}
+	case known:
+		last.stopping = true
+		m.seen[front] = last
+	}
+}
+
+// lost lists the relays of other regions that were alive a while ago and may serve a host, if none of another region is alive now. To
+// its clients this process may be the only directory near, and they reach relays that it doesn't.
+func (m *memory) lost(now time.Time, homes homes) []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var fronts []string
@@ -56,10 +67,22 @@
 		case last.region == m.region:
 		case last.at.Equal(now):
 			return nil
-		default:
+		case homes.admit(last.region):
 			fronts = append(fronts, front)
 		}
 	}
 	slices.Sort(fronts)
 	return fronts
 }
+
+// returning tells whether a relay that a client may be sent to stopped by plan a while ago, so that it is to be expected back.
+func (m *memory) returning(now time.Time, q query) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, last := range m.seen {
+		if last.stopping && q.admits(last.region) && now.Sub(last.at) <= rememberFor {
+			return true
+		}
+	}
+	return false
+}
