Refuse a document of several faults with the same words each time

Cause: the schema library lists causes in the order of a map, and the first was named; a random test met it. Change: the first fault by place and reason is named.

--- a/internal/config/schema.go
+++ b/internal/config/schema.go
@@ -2,10 +2,12 @@
 
 import (
 	"bytes"
+	"cmp"
 	_ "embed"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 
@@ -52,14 +54,30 @@
 	return describeFailure(document, failure)
 }
 
-// describeFailure names the innermost place of a failure, what stands there and what the schema wants.
+// describeFailure names an innermost place of a failure, what stands there and what the schema wants. Where there are several, it is
+// the first by place and reason: the library finds them in no fixed order, and the same document has to be refused with the same words.
 func describeFailure(document any, failure *jsonschema.ValidationError) error {
-	for len(failure.Causes) > 0 {
-		failure = failure.Causes[0]
-	}
 	printer := message.NewPrinter(language.English)
-	reason := failure.ErrorKind.LocalizedString(printer)
-	return invalid(pointer(failure.InstanceLocation), valueAt(document, failure.InstanceLocation), reason)
+	first := slices.MinFunc(innermost(failure), func(a, b *jsonschema.ValidationError) int {
+		return cmp.Or(
+			slices.Compare(a.InstanceLocation, b.InstanceLocation),
+			strings.Compare(a.ErrorKind.LocalizedString(printer), b.ErrorKind.LocalizedString(printer)),
+		)
+	})
+	reason := first.ErrorKind.LocalizedString(printer)
+	return invalid(pointer(first.InstanceLocation), valueAt(document, first.InstanceLocation), reason)
+}
+
+// innermost lists the failures that no other failure caused.
+func innermost(failure *jsonschema.ValidationError) []*jsonschema.ValidationError {
+	if len(failure.Causes) == 0 {
+		return []*jsonschema.ValidationError{failure}
+	}
+	var leaves []*jsonschema.ValidationError
+	for _, cause := range failure.Causes {
+		leaves = append(leaves, innermost(cause)...)
+	}
+	return leaves
 }
 
 // pointer writes a place as a JSON pointer.
--- a/internal/config/validate_test.go
+++ b/internal/config/validate_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -75,3 +76,12 @@
 	single := config.Route{Backend: "a"}
 	assert.DeepEqual(t, single.Shares(), []config.Weight{{Backend: "a", Weight: 1}})
 }
+
+// A document with several faults is refused with the same words each time.
+func TestFirstOfSeveralFaultsIsNamed(t *testing.T) {
+	text := strings.Replace(sampleDocument, `"timeoutMs":8000`, `"timeoutMs":"9","sticky":1,"name":1`, 1)
+	for range 50 {
+		_, verdict := config.EmptyState().ApplyOrder(put(0, []byte(text)))
+		assert.Equal(t, verdict.Message, "/routes/0/name: 1: got number, want string")
+	}
+}
