Sync the folder when a store is opened; simulate a disk that keeps what was synced

Cause: a process killed between the rename of a rewritten log and the sync of its folder read the new file at its next start, and told votes and entries that a loss of power could take back, with the old file under the name. Found by TestWhatWasReadOutlastsALossOfPower. Change: the folder is synced at each opening. The log file works through a small file system interface; a simulated disk keeps only what was synced, each write and each name by chance. Power is lost at each operation of a script of appends and rewrites, and again in what follows.

--- a/internal/logfile/file.go
+++ b/internal/logfile/file.go
@@ -34,9 +34,10 @@
 
 // File is an open file of records. It is for one goroutine at a time.
 type File struct {
+	system    FileSystem
 	directory string
 	limits    Limits
-	file      *os.File
+	file      Handle
 	size      int64
 	batch     uint32
 	failed    error
@@ -46,14 +47,19 @@
 // Open reads the records of the file in a folder and makes it ready for more. A folder without a file gets an empty one; a torn
 // tail is cut off. It returns a *DamageError when something that had been synced is damaged.
 func Open(directory string, limits Limits) (*File, []Record, Report, error) {
-	if err := os.MkdirAll(directory, folderMode); err != nil {
+	return OpenOn(systemFiles{}, directory, limits)
+}
+
+// OpenOn is Open on another file system than the machine's.
+func OpenOn(system FileSystem, directory string, limits Limits) (*File, []Record, Report, error) {
+	if err := system.MakeFolder(directory); err != nil {
 		return nil, nil, Report{}, trace.ConvertSystemError(err)
 	}
-	found, report, err := read(directory)
+	found, report, err := read(system, directory)
 	if err != nil {
 		return nil, nil, report, err
 	}
-	f := &File{directory: directory, limits: limits, size: found.end, batch: found.batch}
+	f := &File{system: system, directory: directory, limits: limits, size: found.end, batch: found.batch}
 	if report.Created {
 		err = f.create()
 	} else {
@@ -68,23 +74,26 @@
 
 // Verify reads the file in a folder and changes nothing. Its error is a *DamageError when the store is unfit.
 func Verify(directory string) (Report, error) {
-	_, report, err := read(directory)
+	_, report, err := read(systemFiles{}, directory)
 	return report, err
 }
 
 // Discard removes the file of a folder, so that the next Open begins an empty one. It is for a store that is unfit.
-func Discard(directory string) error {
-	err := os.Remove(filepath.Join(directory, fileName))
+func Discard(directory string) error { return DiscardOn(systemFiles{}, directory) }
+
+// DiscardOn is Discard on another file system than the machine's.
+func DiscardOn(system FileSystem, directory string) error {
+	err := system.Remove(filepath.Join(directory, fileName))
 	if err != nil && !errors.Is(err, fs.ErrNotExist) {
 		return trace.ConvertSystemError(err)
 	}
-	return trace.Wrap(syncFolder(directory))
+	return trace.ConvertSystemError(system.SyncFolder(directory))
 }
 
-func read(directory string) (scan, Report, error) {
+func read(system FileSystem, directory string) (scan, Report, error) {
 	path := filepath.Join(directory, fileName)
 	report := Report{Path: path}
-	data, err := os.ReadFile(path)
+	data, err := system.ReadFile(path)
 	if errors.Is(err, fs.ErrNotExist) {
 		report.Created = true
 		return scan{}, report, nil
@@ -107,7 +116,7 @@
 
 // create makes a new file that lasts.
 func (f *File) create() error {
-	file, err := os.OpenFile(filepath.Join(f.directory, fileName), os.O_RDWR|os.O_CREATE|os.O_TRUNC, fileMode)
+	file, err := f.system.Open(filepath.Join(f.directory, fileName), os.O_RDWR|os.O_CREATE|os.O_TRUNC)
 	if err != nil {
 		return trace.ConvertSystemError(err)
 	}
@@ -118,12 +127,12 @@
 	if err := file.Sync(); err != nil {
 		return trace.ConvertSystemError(err)
 	}
-	return syncFolder(f.directory)
+	return trace.ConvertSystemError(f.system.SyncFolder(f.directory))
 }
 
 // reopen goes on with a file, behind its last whole record.
 func (f *File) reopen(report Report) error {
-	file, err := os.OpenFile(report.Path, os.O_RDWR, fileMode)
+	file, err := f.system.Open(report.Path, os.O_RDWR)
 	if err != nil {
 		return trace.ConvertSystemError(err)
 	}
@@ -133,10 +142,13 @@
 			return trace.ConvertSystemError(err)
 		}
 	}
-	// What was read may not have been synced by the process before.
+	// What was read, and the name under which it was, may not have been synced by the process before.
 	if err := file.Sync(); err != nil {
 		return trace.ConvertSystemError(err)
 	}
+	if err := f.system.SyncFolder(f.directory); err != nil {
+		return trace.ConvertSystemError(err)
+	}
 	_, err = file.Seek(f.size, io.SeekStart)
 	return trace.ConvertSystemError(err)
 }
--- a/internal/logfile/rewrite.go
+++ b/internal/logfile/rewrite.go
@@ -18,25 +18,25 @@
 		return ErrFull
 	}
 	path := filepath.Join(f.directory, rewriteName)
-	file, err := writeWhole(path, records)
+	file, err := f.writeWhole(path, records)
 	if err != nil {
-		os.Remove(path) // frees the room; a leftover does no harm
+		f.system.Remove(path) // frees the room; a leftover does no harm
 		return trace.ConvertSystemError(err)
 	}
-	if err := os.Rename(path, filepath.Join(f.directory, fileName)); err != nil {
+	if err := f.system.Rename(path, filepath.Join(f.directory, fileName)); err != nil {
 		file.Close()
-		os.Remove(path)
+		f.system.Remove(path)
 		return trace.ConvertSystemError(err)
 	}
 	f.file.Close()
 	f.file, f.size, f.batch = file, size, 2
-	f.failed = syncFolder(f.directory)
-	return trace.Wrap(f.failed)
+	f.failed = f.system.SyncFolder(f.directory)
+	return trace.ConvertSystemError(f.failed)
 }
 
 // writeWhole makes a synced file with one batch of records, and leaves it open behind them.
-func writeWhole(path string, records []Record) (*os.File, error) {
-	file, err := os.OpenFile(path, os.O_RDWR|os.O_CREATE|os.O_TRUNC, fileMode)
+func (f *File) writeWhole(path string, records []Record) (Handle, error) {
+	file, err := f.system.Open(path, os.O_RDWR|os.O_CREATE|os.O_TRUNC)
 	if err != nil {
 		return nil, err
 	}
@@ -51,13 +51,3 @@
 	}
 	return file, nil
 }
-
-// syncFolder makes the names in a folder last.
-func syncFolder(directory string) error {
-	folder, err := os.Open(directory)
-	if err != nil {
-		return trace.ConvertSystemError(err)
-	}
-	defer folder.Close()
-	return trace.ConvertSystemError(folder.Sync())
-}
