--- a/cmd/wallflow/main.go
+++ b/cmd/wallflow/main.go
@@ -96,7 +96,7 @@
 		},
 		Commands: []*cli.Command{
 			newUp(a), newStatus(a), newConfig(a), newEvacuate(a), newRestore(a), newVerify(a),
-			newExperiment(a), newTrial(a), newServe(a), newAgent(a), newEndpoint(a), newSnapshot(a), newPolicy(a), newVersion(a),
+			newExperiment(a), newDays(a), newTrial(a), newServe(a), newAgent(a), newEndpoint(a), newSnapshot(a), newPolicy(a), newVersion(a),
 		},
 		Action: group,
 	}
