--- /dev/null
+++ b/internal/mutation/listed.go
@@ -0,0 +1,229 @@
+package main
+
+// The packages that a mistake is looked for in.
+var (
+	chainTests    = []string{"./internal/chain"}
+	logTests      = []string{"./internal/logfile"}
+	configTests   = []string{"./internal/config"}
+	feedTests     = []string{"./internal/distribution"}
+	registryTests = []string{"./internal/registry"}
+	proxyTests    = []string{"./internal/proxy", "./internal/upstream"}
+	controlTests  = []string{"./internal/control"}
+)
+
+// listed are the mistakes that are planted by hand, by the part of the control side that they are made in.
+func listed() []mistake {
+	var all []mistake
+	all = append(all, acceptorMistakes()...)
+	all = append(all, chainMistakes()...)
+	all = append(all, followerMistakes()...)
+	all = append(all, logMistakes()...)
+	all = append(all, configMistakes()...)
+	all = append(all, feedMistakes()...)
+	all = append(all, registryMistakes()...)
+	all = append(all, proxyMistakes()...)
+	return append(all, controlMistakes()...)
+}
+
+// acceptorMistakes are made in deciding the next view.
+func acceptorMistakes() []mistake {
+	const acceptor, propose, recovery = "internal/chain/acceptor.go", "internal/chain/propose.go", "internal/chain/recovery.go"
+	return []mistake{
+		{"acceptor: a promise is forgotten at a restart", recovery,
+			"\tn.acceptor.promised = ballotFromWire(stored.Ballot)\n", "", chainTests},
+		{"acceptor: an accepted view is forgotten at a restart", recovery,
+			"\tn.acceptor.accepted = accepted\n", "", chainTests},
+		{"acceptor: a rewrite of the log drops the promise", "internal/chain/records.go",
+			"\tif !n.acceptor.promised.zero() {", "\tif false {", chainTests},
+		{"acceptor: a rewrite of the log drops the accepted view", "internal/chain/records.go",
+			"\tif !n.acceptor.accepted.zero() {", "\tif false {", chainTests},
+		{"acceptor: a vote is told before it is on disk", acceptor,
+			"\tn.sendAfter(sender, message, record)\n", "\tn.persist(effect{}, record)\n\tn.send(sender, message)\n", chainTests},
+		{"acceptor: a lower ballot gets a promise", acceptor,
+			"\tif asked.less(n.acceptor.promised) {\n\t\tpromise.Refused", "\tif false {\n\t\tpromise.Refused", chainTests},
+		{"acceptor: a lower ballot is accepted", acceptor,
+			"\tif asked.less(n.acceptor.promised) {\n\t\treturn\n", "\tif false {\n\t\treturn\n", chainTests},
+		{"proposer: a view that may be decided is passed over", propose,
+			"n.earlierView(); found {", "n.earlierView(); found && false {", chainTests},
+		{"proposer: of two accepted views the older one is taken", propose,
+			"highest.less(accepted) {", "(highest.zero() || accepted.less(highest)) {", chainTests},
+		{"proposer: half of the voters decide", "internal/chain/attempt.go",
+			"len(n.electorate())/2 + 1", "len(n.electorate()) / 2", chainTests},
+		{"proposer: the longest log goes before the newest epoch", propose,
+			"\t\t\t\tcmp.Compare(promise.Installed, newest.Installed),\n", "", chainTests},
+		{"proposer: a member whose disk stalls is made head", propose,
+			"\t\t\t\tcompareFlags(newest.Sick, promise.Sick),\n", "", chainTests},
+	}
+}
+
+// chainMistakes are made in replication along the chain.
+func chainMistakes() []mistake {
+	const clients, install, replicate = "internal/chain/clients.go", "internal/chain/install.go", "internal/chain/replicate.go"
+	return []mistake{
+		{"chain: a member that has promised goes on", install,
+			"return !n.acceptor.promised.zero() && !n.mistakes.headGoesOn", "return false", chainTests},
+		{"chain: an epoch counts as installed before it is on disk", install,
+			"\tn.installed = stored.Epoch\n\tn.generation++\n",
+			"\tn.installed, n.durableInstalled = stored.Epoch, stored.Epoch\n\tn.generation++\n", chainTests},
+		{"chain: the tail commits what is not on disk", replicate,
+			"\tfirst := n.log.committed + 1\n", "\tn.synced = n.log.lastPosition()\n\tfirst := n.log.committed + 1\n", chainTests},
+		{"chain: entries are passed on before they are on disk", replicate,
+			"\tif !n.successorJoined || n.passed >= n.synced {\n",
+			"\tn.synced = n.log.lastPosition()\n\tif !n.successorJoined || n.passed >= n.synced {\n", chainTests},
+		{"chain: the end of an old write counts for a new log", "internal/chain/journal.go",
+			"done.generation == n.generation && done.position", "done.position", chainTests},
+		{"chain: a refusal is answered before what it was decided on is committed", "internal/chain/barrier.go",
+			"\t\tif barrier.Position > n.log.committed {", "\t\tif false {", chainTests},
+		{"chain: a barrier passes a member that has not installed the epoch", "internal/chain/barrier.go",
+			" || n.durableInstalled != n.view.Epoch {", " {", chainTests},
+		{"reads: the head answers by itself", clients,
+			"if submit.Read && n.mistakes.readUnconfirmed {", "if submit.Read {", chainTests},
+		{"reads: answered before the position is committed here", clients,
+			"if pending.answered && pending.position <= n.log.committed {", "if pending.answered {", chainTests},
+		{"request ids: an answer to an earlier life is taken", clients,
+			" || answer.Session != n.session ||", " ||", chainTests},
+		{"request ids: a refusal to an earlier life is taken", clients,
+			"if waiting && refused.Session == n.session {", "if waiting {", chainTests},
+		{"request ids: a command that comes twice is taken twice", clients,
+			"taken && !submit.Read {", "taken && false {", chainTests},
+		{"identity: messages for the store that was here before are taken", "internal/chain/dispatch.go",
+			"if message.To != \"\" && Identity(message.To) != n.self.Identity {", "if false {", chainTests},
+		{"log: a rewrite drops what is not committed", "internal/chain/records.go",
+			"n.log.between(n.log.committed, n.log.lastPosition())", "nil", chainTests},
+		{"log: a snapshot goes back behind what is committed", "internal/chain/recovery.go",
+			"\tif snapshot.Position < n.log.committed {", "\tif false {", chainTests},
+	}
+}
+
+// followerMistakes are made in catch-up and in the replacement of voters.
+func followerMistakes() []mistake {
+	const feed, voters = "internal/chain/feed.go", "internal/chain/voters.go"
+	return []mistake{
+		{"catch-up: a follower that lacks entries passes for fresh", feed,
+			" && n.log.committed >= message.Committed {", " {", chainTests},
+		{"catch-up: a feed is taken without looking at what comes before it", feed,
+			"\tif !n.matches(message.PreviousEpoch, message.PreviousPosition) {", "\tif false {", chainTests},
+		{"catch-up: a snapshot is installed without being written", feed,
+			"\tn.persist(effect{position: snapshot.Position, generation: n.generation}, encodeRecord(RecordSnapshot, snapshot))\n", "", chainTests},
+		{"catch-up: a tail that has not installed its epoch feeds", feed,
+			" && n.serving() && n.durableInstalled == n.view.Epoch", "", chainTests},
+		{"replacement: the old voter stays", voters,
+			"voterChange{add: each.member, remove: dead.Identity}", "voterChange{add: each.member}", chainTests},
+		{"replacement: an odd electorate shrinks", voters,
+			"len(n.view.Voters)%2 != 0 || ", "", chainTests},
+		{"replacement: two voters in one view", "internal/chain/propose.go",
+			"\tif n.mistakes.twoReplacements {", "\tif true {", chainTests},
+		{"replacement: a learner never counts as caught up under many changes", voters,
+			"return position >= mark.position", "return false", chainTests},
+	}
+}
+
+func logMistakes() []mistake {
+	const file, rewrite, scan = "internal/logfile/file.go", "internal/logfile/rewrite.go", "internal/logfile/scan.go"
+	return []mistake{
+		{"disk: an append is not synced", file, "\treturn f.file.Sync()\n", "\treturn nil\n", logTests},
+		{"disk: a rewritten file takes its name without having been synced", rewrite,
+			"\tif err := file.Sync(); err != nil {", "\tif err := error(nil); err != nil {", logTests},
+		{"disk: the folder is not synced after a rewrite", rewrite,
+			"f.failed = f.system.SyncFolder(f.directory)", "f.failed = nil", logTests},
+		{"disk: the folder of a created file is not synced", file,
+			"return trace.ConvertSystemError(f.system.SyncFolder(f.directory))", "return nil", logTests},
+		{"disk: what a start reads is not synced", file,
+			"\t// What was read, and the name under which it was, may not have been synced by the process before.\n\tif err := file.Sync(); err != nil {",
+			"\tif err := error(nil); err != nil {", logTests},
+		{"disk: the folder is not synced at a start", file,
+			"\tif err := f.system.SyncFolder(f.directory); err != nil {", "\tif err := error(nil); err != nil {", logTests},
+		{"disk: the folder of a discarded file is not synced", file,
+			"return trace.ConvertSystemError(system.SyncFolder(directory))", "return nil", logTests},
+		{"disk: a file goes on after a failed sync", file,
+			"\t\tf.failed = err\n", "", logTests},
+		{"disk: damage before whole batches is cut like a torn tail", scan,
+			"syncedWhole || holdsRecordFrom(rest, result.batch+1)", "syncedWhole", logTests},
+	}
+}
+
+func configMistakes() []mistake {
+	const apply, code = "internal/config/apply.go", "internal/config/statecode.go"
+	return []mistake{
+		{"orders: a taken order is forgotten", apply, "\tnext.taken = remember(s.taken, sum)\n", "\t_ = remember\n", configTests},
+		{"orders: the memory of taken orders is not in the snapshot", code,
+			"\t\tmessage.Taken = append(message.Taken, s.taken[index][:])\n", "\t\t_ = index\n", configTests},
+		{"orders: the memory is one order short", apply,
+			"len(taken)+1-rememberedOrders", "len(taken)+2-rememberedOrders", configTests},
+		{"orders: the version that an order builds on is not looked at", apply,
+			"if order.Match != s.generation {", "if false {", configTests},
+		{"orders: two orders on other versions are taken for one", "internal/config/order.go",
+			"\tbinary.BigEndian.PutUint64(head[2:], o.Match)\n", "\t_ = binary.BigEndian\n", configTests},
+		{"orders: a version that is not higher is taken", apply, "generation <= s.generation {", "generation < s.generation {", configTests},
+	}
+}
+
+func feedMistakes() []mistake {
+	const subscriber, apply, source = "internal/distribution/subscriber.go", "internal/distribution/apply.go", "internal/distribution/source.go"
+	return []mistake{
+		{"feed: an older configuration replaces a newer one", apply,
+			"update.GetRevision() <= s.config.Revision {", "update.GetRevision() == s.config.Revision {", feedTests},
+		{"feed: a patched document is not compared with its hash", apply,
+			"\tif DocumentHash(document) != update.GetDocumentHash() {", "\tif false {", feedTests},
+		{"feed: a patch is applied to another document than its base", apply,
+			"\t\tif step.GetBase() != at {", "\t\tif false {", feedTests},
+		{"feed: a source that is not in touch passes for fresh", subscriber,
+			"source.fresh && source.placed &&", "source.placed &&", feedTests},
+		{"feed: a relay stays with a source that is not in touch", "internal/distribution/seek.go",
+			"judged == nil || !judged.fresh ||", "judged == nil ||", feedTests},
+		{"feed: an instance that is gone for good comes back", apply,
+			"\tif known.Final() {\n\t\treturn\n\t}\n\tbefore", "\tbefore", feedTests},
+		{"feed: a new life of the source passes for the old one", source,
+			"\t\t\tsender.placed = false\n", "", feedTests},
+		{"feed: a subscriber of an earlier life is resumed", "internal/distribution/answer.go",
+			"request.GetSource() == p.source && ", "", feedTests},
+		{"fencing: an older home is followed", subscriber, "return token < s.tokenSeen", "return false", feedTests},
+		{"digests: a gap that a digest shows is not asked about", subscriber,
+			" || digest.GetRevision() > s.config.Revision {", " {", feedTests},
+	}
+}
+
+func registryMistakes() []mistake {
+	const replicate = "internal/registry/replicate.go"
+	return []mistake{
+		{"departure: one other process is enough", replicate, "holders <= len(t.electorate)/2", "holders < 2", registryTests},
+		{"departure: an acknowledgement to an earlier life counts", replicate,
+			" || acknowledgement.GetLife() != t.options.Life {", " {", registryTests},
+		{"departure: what a process held before its restart counts", replicate, "held.life == other.life && ", "", registryTests},
+		{"departure: a lost process counts", replicate, "other == nil || !other.live || ", "other == nil || ", registryTests},
+		{"heartbeats: a late one wins", "internal/registry/beat.go", "if exists && beat.Seq < known.Seq {", "if false {", registryTests},
+		{"heartbeats: instances expire while out of touch", "internal/registry/tick.go",
+			"if !t.inTouch || now.Sub", "if now.Sub", registryTests},
+		{"heartbeats: a draining instance is ready again", "internal/registry/merge.go",
+			"known.Reported = Furthest(known.Reported, incoming.Reported)", "known.Reported = incoming.Reported", registryTests},
+		{"digests: differing tables are not compared", "internal/registry/merge.go",
+			"\tanswer.Buckets = slices.Clone(t.buckets[:])\n", "\t_ = slices.Clone[[]int]\n", registryTests},
+	}
+}
+
+func proxyMistakes() []mistake {
+	const exchange = "internal/upstream/exchange.go"
+	return []mistake{
+		{"requests: a later try forgets that an earlier one may have run", "internal/proxy/attempt.go",
+			"f.mayHaveRun = f.mayHaveRun || outcome.MayHaveRun", "f.mayHaveRun = outcome.MayHaveRun", proxyTests},
+		{"requests: an answer to another request is taken", exchange, "if id == request.ID {", "if id != \"\" {", proxyTests},
+		{"requests: one that was partly sent is sent again", exchange, "if n == 0 && kind != Abandoned {", "if kind != Abandoned {", proxyTests},
+		{"requests: one that got no answer is sent again", exchange, "if failure.Kind == NotSent && kept", "if kept", proxyTests},
+		{"requests: nothing sent counts as run", "internal/upstream/errors.go", "bool { return e.Sent }", "bool { return false }", proxyTests},
+	}
+}
+
+func controlMistakes() []mistake {
+	const process = "internal/control/process.go"
+	return []mistake{
+		{"control: the feed says fresh while out of touch", process, "\tp.feed.SetFresh(fresh)\n", "\tp.feed.SetFresh(true)\n", controlTests},
+		{"control: instances expire while out of touch", process,
+			"\tp.instances.SetInTouch(now, fresh)\n", "\tp.instances.SetInTouch(now, true)\n", controlTests},
+		{"control: a discarded store founds a system", process,
+			"set.Bootstrap && !store.discarded", "set.Bootstrap", controlTests},
+		{"control: a departure is acknowledged without waiting", "internal/control/instances.go",
+			"\tif safe != nil && !awaitChange(safe, replicatedWithin) {", "\tif false {", controlTests},
+		{"control: damage of the store ends the process", "internal/control/store.go",
+			"\tif errors.As(err, &damage) {", "\tif false {", controlTests},
+	}
+}
