--- a/internal/proxy/failure_test.go
+++ b/internal/proxy/failure_test.go
@@ -189,3 +189,20 @@
 	t.Helper()
 	assert.Assert(t, <-b.drain(), "requests were left")
 }
+
+// A later try that did not run says nothing of an earlier one that may have: no promise is given then.
+func TestNoPromiseOnceATryMayHaveRun(t *testing.T) {
+	resets := func(conn *net.TCPConn, _ received) bool { conn.SetLinger(0); return false }
+	for name, act := range map[string]does{"cut": cuts, "reset": resets, "own failure that promises": replies(503, "own", "")} {
+		for _, second := range []does{declines(503), declines(429), replies(421, "", "")} {
+			t.Run(name, func(t *testing.T) {
+				mayHaveRun, declined := newStandIn(t, "i-1", act), newStandIn(t, "i-2", second)
+				b := newBed(t, documentFor(config.KindSafe, nil), newScript(mayHaveRun, declined), nil)
+				got := b.askOnce("", "body")
+				assert.Assert(t, b.outcome(0).MayHaveRun)
+				assert.Assert(t, !b.outcome(1).MayHaveRun)
+				wantAnswer(t, got, http.StatusBadGateway, "", "")
+			})
+		}
+	}
+}
