A member of the chain leaves it in order when told to stop

Change: at SIGTERM a process tells the voters that it can't be counted on, serves on until they have a chain without it, 1.5 s at most, and goes then.

--- a/internal/chain/journal.go
+++ b/internal/chain/journal.go
@@ -139,10 +139,10 @@
 	}
 }
 
-// sick tells whether the own disk does not keep up, did not until a moment ago, or failed.
+// sick tells whether the node can't be counted on: its disk does not keep up, did not until a moment ago, or failed, or it leaves.
 func (n *Node) sick() bool {
 	j := &n.journal
-	if j.failed || n.writeLate() {
+	if n.leaving || j.failed || n.writeLate() {
 		return true
 	}
 	return !j.goodSince.IsZero() && n.now.Sub(j.goodSince) < fitAfter
--- a/internal/chain/membership.go
+++ b/internal/chain/membership.go
@@ -158,7 +158,7 @@
 	return true
 }
 
-// tickTrouble tells the voters about the own disk.
+// tickTrouble tells the voters whether this node can be counted on.
 func (n *Node) tickTrouble() {
 	m := &n.membership
 	sick := n.sick()
@@ -168,7 +168,9 @@
 	if sick && m.wasSick && n.now.Sub(m.troubleAt) < troubleResend {
 		return
 	}
-	if sick && !m.wasSick {
+	if sick && !m.wasSick && n.leaving {
+		n.logf("stopping, leaving the chain")
+	} else if sick && !m.wasSick {
 		n.logf("the disk does not keep up, leaving the chain")
 	}
 	m.wasSick, m.troubleAt = sick, n.now
--- a/internal/chain/node.go
+++ b/internal/chain/node.go
@@ -24,6 +24,7 @@
 
 	journal    journal
 	log        entryLog
+	leaving    bool   // Leave was called
 	generation uint64 // rises when entries are dropped from the end of the log
 	synced     uint64 // the log is on disk up to this position
 
@@ -148,6 +149,21 @@
 	return n.finish()
 }
 
+// Leave has the node leave the chain in order: the other voters are told that it can't be counted on and agree on a view without it,
+// in which what it holds is held by enough others. It goes on with its part until they have: see InChain. Where they are too few for
+// that, it stays.
+func (n *Node) Leave(now time.Time) Output {
+	n.begin(now)
+	n.leaving = true
+	if n.ready {
+		n.tickTrouble()
+	}
+	return n.finish()
+}
+
+// InChain tells whether the node is a member of the chain of the newest view that it knows.
+func (n *Node) InChain() bool { return n.inChain() }
+
 // Identity names the node's store.
 func (n *Node) Identity() Identity { return n.self.Identity }
 
--- a/internal/control/options.go
+++ b/internal/control/options.go
@@ -16,6 +16,10 @@
 	largeBodyWithin = 2500 * time.Millisecond
 	// replicatedWithin is how long a leaving endpoint waits until a majority of the control processes knows of it.
 	replicatedWithin = 800 * time.Millisecond
+	// retireWithin bounds how long a process that is told to stop waits until the others have a chain without it, and retireLook is
+	// the time between two looks.
+	retireWithin = 1500 * time.Millisecond
+	retireLook   = 20 * time.Millisecond
 	// maxOrderBytes is the largest order that is read.
 	maxOrderBytes = 8 << 20
 	// maxHeartbeatBytes is the largest heartbeat that is read.
--- a/internal/control/process.go
+++ b/internal/control/process.go
@@ -146,6 +146,24 @@
 	}
 }
 
+// Retire has the process leave the chain, and returns once it has or after a while. It serves on meanwhile. Without it a change would
+// wait until the others hold this process for dead, and what it holds would be held by one fewer.
+func (p *Process) Retire() {
+	p.mu.Lock()
+	p.carryOut(p.chain.Leave(time.Now()))
+	p.mu.Unlock()
+	deadline := time.Now().Add(retireWithin)
+	for p.inChain() && time.Now().Before(deadline) {
+		time.Sleep(retireLook)
+	}
+}
+
+func (p *Process) inChain() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.chain.InChain()
+}
+
 // Close tells the others that the process leaves and ends its connections.
 func (p *Process) Close() {
 	p.mu.Lock()
--- a/internal/control/program.go
+++ b/internal/control/program.go
@@ -35,7 +35,9 @@
 		running = append(running, server)
 		go func() { failed <- server.Serve() }()
 	}
-	go process.Run(ctx)
+	timers, stopTimers := context.WithCancel(context.Background())
+	defer stopTimers()
+	go process.Run(timers) // also while the process retires
 	log.Info("control process started", "node", set.Node, "control", set.Listen.Control, "directory", set.Listen.Directory)
 	for {
 		select {
@@ -44,6 +46,7 @@
 		case changed := <-environment.Changed:
 			process.SetSeeds(changed.SeedInternalAddresses())
 		case <-ctx.Done():
+			process.Retire()
 			for _, server := range running {
 				server.ShutDown()
 			}
