Build the control process over interfaces of its network, disk and clock

No behaviour is changed, but for one fault found by reading: a message that came while the process began to listen met a process without a network; it waits now.

--- a/internal/control/api.go
+++ b/internal/control/api.go
@@ -40,6 +40,7 @@
 		HoldMax: p.settings.Bounds.TTLMax(),
 		Region:  p.settings.Region,
 		InTouch: p.inTouch,
+		Now:     p.clock,
 
 		HomeRegions: p.homeRegions,
 	})
@@ -60,7 +61,7 @@
 func (p *Process) inTouch() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.chain.Fresh(time.Now())
+	return p.chain.Fresh(p.clock())
 }
 
 func (p *Process) listMembers() []swim.Member {
@@ -140,46 +141,57 @@
 	if len(order.Body) > largeBody {
 		within = largeBodyWithin
 	}
-	command := order.Encode()
-	answer := p.ask(within, func(now time.Time, request uint64) chain.Output {
-		return p.chain.Submit(now, request, command)
-	})
-	if !answer.Known {
-		httpapi.Refuse(w, http.StatusServiceUnavailable, "the outcome is not known yet")
+	status, body := orderOutcome(p.ask(within, p.orderFor(order)))
+	if status == http.StatusOK {
+		httpapi.AnswerBytes(w, status, body)
 		return
 	}
-	if answer.Reply.Status == http.StatusOK {
-		httpapi.AnswerBytes(w, http.StatusOK, []byte("{}"))
-		return
+	httpapi.Refuse(w, status, string(body))
+}
+
+// question begins a request to the chain under a number.
+type question func(now time.Time, request uint64) chain.Output
+
+func (p *Process) orderFor(order config.Order) question {
+	command := order.Encode()
+	return func(now time.Time, request uint64) chain.Output { return p.chain.Submit(now, request, command) }
+}
+
+// orderOutcome is what an operator is told of an order.
+func orderOutcome(answer chain.Answer) (status int, body []byte) {
+	switch {
+	case !answer.Known:
+		return http.StatusServiceUnavailable, []byte("the outcome is not known yet")
+	case answer.Reply.Status == http.StatusOK:
+		return http.StatusOK, []byte("{}")
 	}
-	httpapi.Refuse(w, answer.Reply.Status, string(answer.Reply.Body))
+	return answer.Reply.Status, answer.Reply.Body
 }
 
 func (p *Process) getConfig(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
-	answer := p.ask(answerWithin, p.chain.Read)
-	if !answer.Known {
-		httpapi.Refuse(w, http.StatusServiceUnavailable, "no contact with the control processes in charge")
+	status, body := readOutcome(p.ask(answerWithin, p.chain.Read))
+	if status == http.StatusOK {
+		httpapi.AnswerBytes(w, status, body)
 		return
 	}
+	httpapi.Refuse(w, status, string(body))
+}
+
+// readOutcome is what an operator is told who asks for the configuration.
+func readOutcome(answer chain.Answer) (status int, body []byte) {
+	if !answer.Known {
+		return http.StatusServiceUnavailable, []byte("no contact with the control processes in charge")
+	}
 	current, ok := answer.State.(replicated)
 	if !ok || current.state.Generation() == 0 {
-		httpapi.Refuse(w, http.StatusServiceUnavailable, "no configuration has been taken yet")
-		return
+		return http.StatusServiceUnavailable, []byte("no configuration has been taken yet")
 	}
-	httpapi.AnswerBytes(w, http.StatusOK, current.state.Document())
+	return http.StatusOK, current.state.Document()
 }
 
 // ask hands a request to the chain and waits for its answer, for so long at most.
-func (p *Process) ask(within time.Duration, begin func(now time.Time, request uint64) chain.Output) chain.Answer {
-	answered := make(chan chain.Answer, 1)
-	p.mu.Lock()
-	p.nextRequest++
-	request := p.nextRequest
-	p.answers[request] = answered
-	now := time.Now()
-	p.carryOut(begin(now, request))
-	p.publish(now)
-	p.mu.Unlock()
+func (p *Process) ask(within time.Duration, asked question) chain.Answer {
+	request, answered := p.pose(asked)
 	timer := time.NewTimer(within)
 	defer timer.Stop()
 	select {
@@ -187,8 +199,26 @@
 		return answer
 	case <-timer.C:
 	}
+	p.giveUp(request)
+	return chain.Answer{Request: request}
+}
+
+// pose hands a request to the chain, and returns its number and where its answer comes.
+func (p *Process) pose(asked question) (request uint64, answered chan chain.Answer) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.nextRequest++
+	answered = make(chan chain.Answer, 1)
+	p.answers[p.nextRequest] = answered
+	now := p.clock()
+	p.carryOut(asked(now, p.nextRequest))
+	p.publish(now)
+	return p.nextRequest, answered
+}
+
+// giveUp waits no longer for an answer.
+func (p *Process) giveUp(request uint64) {
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	delete(p.answers, request)
-	p.mu.Unlock()
-	return chain.Answer{Request: request}
 }
--- a/internal/control/instances.go
+++ b/internal/control/instances.go
@@ -78,7 +78,7 @@
 func (p *Process) spreadChange(take func(now time.Time) registry.Change) (safe chan struct{}, id uint64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now := time.Now()
+	now := p.clock()
 	change := take(now)
 	if change.Changed {
 		p.deliver(p.feed.SetInstances(now, []registry.Instance{change.Instance}))
@@ -111,7 +111,7 @@
 
 // broadcast sends a message to the other control processes in touch.
 func (p *Process) broadcast(message *feedpb.RegistryMessage) {
-	batch := p.mesh.Batch(transport.KindRegistry)
+	batch := p.network.Batch(transport.KindRegistry)
 	for _, peer := range p.peers() {
 		batch.Send(peer.Name, message)
 	}
@@ -149,7 +149,7 @@
 		p.broadcast(output.Broadcast)
 	}
 	for _, send := range output.Sends {
-		p.mesh.Send(send.To, transport.KindRegistry, send.Message)
+		p.network.Send(send.To, transport.KindRegistry, send.Message)
 	}
 	if len(output.Changed) > 0 {
 		p.deliver(p.feed.SetInstances(now, output.Changed))
@@ -162,7 +162,7 @@
 func (p *Process) receiveRegistry(now time.Time, from string, message *feedpb.RegistryMessage) {
 	changed, reply := p.instances.Merge(now, message)
 	if reply != nil {
-		p.mesh.Send(from, transport.KindRegistry, reply)
+		p.network.Send(from, transport.KindRegistry, reply)
 	}
 	if len(changed) > 0 {
 		p.deliver(p.feed.SetInstances(now, changed))
--- a/internal/control/process.go
+++ b/internal/control/process.go
@@ -32,11 +32,16 @@
 type Process struct {
 	settings  *settings.Settings
 	log       *slog.Logger
-	mesh      *transport.Mesh
-	traffic   transport.Reporter
-	writer    *writer
+	clock     func() time.Time
+	network   network
+	disk      disk
 	directory *directory.Directory
 
+	// Of a process in service, not of a simulated one:
+	mesh    *transport.Mesh
+	traffic transport.Reporter
+	writer  *writer
+
 	mu        sync.Mutex
 	chain     *chain.Node
 	members   *swim.Node
@@ -53,20 +58,64 @@
 
 // Start opens the store of a control process and joins it to the system. Close ends it.
 func Start(set *settings.Settings, log *slog.Logger) (*Process, error) {
-	random := rand.New(rand.NewSource(randomSeed()))
 	store, err := openStore(set.DataDir, log)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
+	random := rand.New(rand.NewSource(randomSeed()))
+	p := newProcess(set, log, time.Now, random)
+	p.writer = newWriter(store.file, p.written)
+	p.disk = p.writer
+	first, err := p.build(store, random)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	if err := p.listen(); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	p.begin(first)
+	return p, nil
+}
+
+// listen joins the process to the network. Messages that come meanwhile wait for the lock.
+func (p *Process) listen() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	mesh, err := transport.Listen(transport.Options{Address: p.settings.InternalAddress(), Handler: p.receive, Logger: p.log})
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	p.mesh = mesh
+	p.network = meshNetwork{mesh}
+	p.traffic = transport.Reporter{Mesh: mesh, Log: p.log}
+	return nil
+}
+
+// newProcess makes a process without cores.
+func newProcess(set *settings.Settings, log *slog.Logger, clock func() time.Time, random *rand.Rand) *Process {
 	p := &Process{
 		settings: set,
 		log:      log,
+		clock:    clock,
 		answers:  make(map[uint64]chan chain.Answer),
 		replicas: newReplicationWaits(),
+		feed:     distribution.NewPublisher(feedLife(random), clock()),
 	}
-	p.writer = newWriter(store.file, p.written)
 	p.directory = p.newDirectory()
-	now := time.Now()
+	return p
+}
+
+// feedLife is a random name of this life of the process.
+func feedLife(random *rand.Rand) string {
+	const nameBytes = 8
+	name := make([]byte, nameBytes)
+	random.Read(name)
+	return hex.EncodeToString(name)
+}
+
+// build makes the cores from the records of the store. What the chain wants done first is returned.
+func (p *Process) build(store openedStore, random *rand.Rand) (chain.Output, error) {
+	set, now := p.settings, p.clock()
 	node, first, err := chain.New(chain.Options{
 		Self:         chain.Member{Name: set.Node, Address: set.InternalAddress(), Zone: set.Zone, Region: set.Region},
 		Bootstrap:    set.Bootstrap && !store.discarded,
@@ -78,7 +127,7 @@
 		Random:       random,
 	}, store.records, now)
 	if err != nil {
-		return nil, trace.Wrap(err)
+		return chain.Output{}, trace.Wrap(err)
 	}
 	p.chain = node
 	p.members = swim.New(swim.Options{
@@ -94,17 +143,15 @@
 		Life:              random.Uint64(),
 	}, now)
 	p.instances.SetInTouch(now, false) // until a majority is
-	p.feed = distribution.NewPublisher(hex.EncodeToString(randomBytes(8)), now)
-	p.mesh, err = transport.Listen(transport.Options{Address: set.InternalAddress(), Handler: p.receive, Logger: log})
-	if err != nil {
-		return nil, trace.Wrap(err)
-	}
-	p.traffic = transport.Reporter{Mesh: p.mesh, Log: log}
+	return first, nil
+}
+
+// begin carries out what the chain wants done first.
+func (p *Process) begin(first chain.Output) {
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	p.carryOut(first)
-	p.publish(now)
-	p.mu.Unlock()
-	return p, nil
+	p.publish(p.clock())
 }
 
 // selfMember is what the other processes are told of this one.
@@ -150,7 +197,7 @@
 // wait until the others hold this process for dead, and what it holds would be held by one fewer.
 func (p *Process) Retire() {
 	p.mu.Lock()
-	p.carryOut(p.chain.Leave(time.Now()))
+	p.carryOut(p.chain.Leave(p.clock()))
 	p.mu.Unlock()
 	deadline := time.Now().Add(retireWithin)
 	for p.inChain() && time.Now().Before(deadline) {
@@ -167,7 +214,7 @@
 // Close tells the others that the process leaves and ends its connections.
 func (p *Process) Close() {
 	p.mu.Lock()
-	p.spread(p.members.Leave(time.Now()))
+	p.spread(p.members.Leave(p.clock()))
 	p.mu.Unlock()
 	p.writer.close()
 	p.mesh.Close()
@@ -214,7 +261,7 @@
 
 // receive takes a message of another process.
 func (p *Process) receive(from string, kind transport.Kind, payload []byte) {
-	now := time.Now()
+	now := p.clock()
 	switch kind {
 	case transport.KindChain:
 		message := new(chainpb.Message)
@@ -267,7 +314,7 @@
 	if err != nil {
 		p.log.Error("store failed", "error", err)
 	}
-	now := time.Now()
+	now := p.clock()
 	p.carryOut(p.chain.Written(now, token, err))
 	p.publish(now)
 }
@@ -278,10 +325,10 @@
 		p.log.Info("chain", "event", line)
 	}
 	for _, write := range output.Writes {
-		p.writer.add(write)
+		p.disk.add(write)
 	}
 	for _, send := range output.Sends {
-		p.mesh.Send(send.To, transport.KindChain, send.Message)
+		p.network.Send(send.To, transport.KindChain, send.Message)
 	}
 	for _, answer := range output.Answers {
 		if waiting := p.answers[answer.Request]; waiting != nil {
@@ -294,10 +341,10 @@
 // spread sends what membership wants.
 func (p *Process) spread(output swim.Output) {
 	for _, datagram := range output.Datagrams {
-		p.mesh.SendDatagram(datagram.To, transport.KindSwim, datagram.Message)
+		p.network.SendDatagram(datagram.To, transport.KindSwim, datagram.Message)
 	}
 	for _, message := range output.Messages {
-		p.mesh.Send(message.To, transport.KindSwim, message.Message)
+		p.network.Send(message.To, transport.KindSwim, message.Message)
 	}
 	for _, member := range output.Changed {
 		p.log.Info("member", "name", member.Name, "status", member.Status, "serving", member.Meta.Serving)
@@ -306,7 +353,7 @@
 
 // deliver sends what the feed wants.
 func (p *Process) deliver(output distribution.Output) {
-	batch := p.mesh.Batch(transport.KindFeed)
+	batch := p.network.Batch(transport.KindFeed)
 	for _, send := range output.Sends {
 		batch.Send(send.To, send.Message)
 	}
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -17,7 +17,7 @@
 
 // status answers GET /status: what this process holds and sees. It reads and changes nothing, and asks no other process.
 func (p *Process) status(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
-	httpapi.AnswerJSON(w, http.StatusOK, p.describe(time.Now()))
+	httpapi.AnswerJSON(w, http.StatusOK, p.describe(p.clock()))
 }
 
 func (p *Process) describe(now time.Time) operator.Status {
