--- a/internal/chain/feed_test.go
+++ b/internal/chain/feed_test.go
@@ -93,3 +93,36 @@
 	assert.Equal(t, here, there)
 	assert.Assert(t, follower.node.Fresh(s.now))
 }
+
+// A write that was out when its entries were replaced says nothing of those that took their place.
+func TestOldWriteProvesNothingOfANewLog(t *testing.T) {
+	s, p := voterOutsideChain(t, 3)
+	p.hanging = true // its writes are ended by hand
+	_, committed := p.node.Committed()
+	feed := func(epoch uint64, previousEpoch uint64) Output {
+		var entries []*chainpb.Entry
+		for position := committed + 1; position <= committed+3; position++ {
+			entries = append(entries, &chainpb.Entry{Epoch: epoch, Position: position, Command: []byte{byte('a' + epoch), byte('0' + position)}})
+		}
+		tail := s.byIdentity(s.newestView().Tail())
+		return p.node.Receive(s.now, tail.self.Address, &chainpb.Message{
+			From: string(tail.node.Identity()), To: string(p.node.Identity()), Epoch: p.node.View().Epoch,
+			Body: &chainpb.Message_Feed{Feed: &chainpb.Feed{PreviousEpoch: previousEpoch, PreviousPosition: committed, Entries: entries, Committed: committed}},
+		})
+	}
+	first := feed(1, 1)
+	assert.Equal(t, len(first.Writes), 1)
+	feed(2, 1)
+	p.node.Written(s.now, first.Writes[0].Token, nil)
+	assert.Equal(t, p.node.log.lastPosition(), committed+3)
+	assert.Equal(t, p.node.synced, committed)
+}
+
+// A log never goes back behind what is committed in it, whoever sends a snapshot.
+func TestSnapshotBehindWhatIsCommittedIsRefused(t *testing.T) {
+	_, p := voterOutsideChain(t, 3)
+	before, committed := p.node.Committed()
+	assert.Assert(t, p.node.resetLog(&chainpb.Snapshot{Position: committed - 1, Epoch: 1, State: []byte("other")}) != nil)
+	after, _ := p.node.Committed()
+	assert.DeepEqual(t, after.(ledger).taken, before.(ledger).taken)
+}
--- a/internal/chain/propose_test.go
+++ b/internal/chain/propose_test.go
@@ -48,3 +48,19 @@
 	assert.Assert(t, found)
 	assert.Equal(t, head.Identity, view.Voters[0].Identity)
 }
+
+// Of several views that were accepted, the one of the highest ballot may have been decided: that one is proposed again.
+func TestNewestAcceptedViewIsProposedAgain(t *testing.T) {
+	accepted := func(round uint64, head Identity) *chainpb.Promise {
+		view := View{Epoch: 2, Voters: []Member{{Identity: head}}, Chain: []Identity{head}}
+		return &chainpb.Promise{Accepted: &chainpb.Ballot{Round: round, Nonce: 1}, View: viewToWire(view)}
+	}
+	for range 20 { // the promises are in no order
+		n := &Node{attempt: &attempt{promises: map[string]*chainpb.Promise{
+			"a": accepted(3, "third"), "b": accepted(7, "seventh"), "c": accepted(5, "fifth"), "d": {},
+		}}}
+		view, found := n.earlierView()
+		assert.Assert(t, found)
+		assert.Equal(t, view.Head(), Identity("seventh"))
+	}
+}
--- a/internal/chain/repair_test.go
+++ b/internal/chain/repair_test.go
@@ -24,10 +24,11 @@
 			s.run(300 * time.Millisecond)
 			first.start(false)
 			s.until(8*time.Second, func() bool {
-				_, stays := s.newestView().Voter(identity)
 				_, votes := s.newestView().Voter(first.node.Identity())
-				return votes && !stays
+				return votes
 			})
+			_, stays := s.newestView().Voter(identity)
+			assert.Assert(t, !stays, "the lost store still votes beside its successor")
 			s.write("between")
 			second.kill(true)
 			second.wipe()
--- a/internal/chain/simulation_test.go
+++ b/internal/chain/simulation_test.go
@@ -54,6 +54,7 @@
 	disk       *simdisk.Disk
 	file       *logfile.File
 	writing    *Write // the write that is out
+	persisted  uint64 // position of the newest entry that is on disk in this life
 	syncTime   time.Duration
 	hanging    bool
 	frozen     bool
@@ -218,6 +219,7 @@
 		return err
 	}
 	p.file = file
+	p.persisted = newestEntry(records)
 	node, output, err := New(p.options(bootstrap), records, p.simulation.now)
 	if err != nil {
 		return err
@@ -320,6 +322,7 @@
 	if s.watch != nil {
 		s.watch(p)
 	}
+	p.checkPersisted()
 	if _, revision := p.node.Committed(); revision < p.revision {
 		s.fail("%s: committed went from %d back to %d", p.self.Name, p.revision, revision)
 	} else {
@@ -333,6 +336,42 @@
 	}
 }
 
+// newestEntry is the highest position that records hold.
+func newestEntry(records []Record) uint64 {
+	newest := uint64(0)
+	for _, record := range records {
+		var entry chainpb.Entry
+		var snapshot chainpb.Snapshot
+		var installed chainpb.StoredInstalled
+		switch record.Type {
+		case RecordEntry:
+			_ = proto.Unmarshal(record.Payload, &entry)
+			newest = max(newest, entry.Position)
+		case RecordSnapshot:
+			_ = proto.Unmarshal(record.Payload, &snapshot)
+			newest = max(newest, snapshot.Position)
+		case RecordInstalled:
+			_ = proto.Unmarshal(record.Payload, &installed)
+			newest = max(newest, installed.Snapshot.GetPosition())
+			for _, each := range installed.Entries {
+				newest = max(newest, each.Position)
+			}
+		}
+	}
+	return newest
+}
+
+// checkPersisted holds that a member of the chain has on its disk what it passed on, and the tail what it committed.
+func (p *process) checkPersisted() {
+	n := p.node
+	if !n.serving() || n.durableInstalled != n.view.Epoch {
+		return
+	}
+	if n.passed > p.persisted || n.isTail() && n.log.committed > p.persisted {
+		p.simulation.fail("%s passed %d and committed %d entries, of which %d are on its disk", p.self.Name, n.passed, n.log.committed, p.persisted)
+	}
+}
+
 func (p *process) write(write Write) {
 	life := p.life
 	p.writing = &write
@@ -352,6 +391,9 @@
 	}
 	p.writing = nil
 	err := p.carryOutWrite(write)
+	if err == nil {
+		p.persisted = max(p.persisted, newestEntry(write.Records))
+	}
 	p.carryOut(p.node.Written(p.simulation.now, write.Token, err))
 }
 
