A chain goes on with a majority where the voters can't bear what is asked for

Change: what may be lost sets the length that is wanted; a majority is the least. A chain shorter than wanted is lengthened once another voter can be counted on. The log tells of too few voters.

--- a/internal/chain/attempt.go
+++ b/internal/chain/attempt.go
@@ -33,14 +33,15 @@
 	acceptors map[string]bool
 }
 
-// voterChange is one voter more, one in the place of another, or one less.
+// voterChange is one voter more, one in the place of another, or one less, or the same voters with a longer chain.
 type voterChange struct {
-	add    Member
-	remove Identity
+	add      Member
+	remove   Identity
+	lengthen bool
 }
 
 func (c voterChange) adds() bool { return c.add.Identity != "" }
-func (c voterChange) none() bool { return !c.adds() && c.remove == "" }
+func (c voterChange) none() bool { return !c.adds() && c.remove == "" && !c.lengthen }
 
 func (n *Node) startAttempt(reason chainpb.Reason, change voterChange) {
 	n.counters.Proposals++
--- a/internal/chain/install.go
+++ b/internal/chain/install.go
@@ -67,6 +67,9 @@
 	n.counters.ViewsDecided++
 	n.persist(effect{}, encodeRecord(RecordDecided, viewToWire(view)))
 	n.logf("view %d: %d voters, chain of %d, role %s", view.Epoch, len(view.Voters), len(view.Chain), n.role())
+	if len(view.Voters) < n.leastVoters() {
+		n.logf("%d voters can't bear the loss of %d at once: %d are needed", len(view.Voters), n.options.MinimumChain-1, n.leastVoters())
+	}
 	confirmedAt, confirmedEpoch := n.confirmedAt, n.confirmedEpoch
 	n.replication = replication{confirmedAt: confirmedAt, confirmedEpoch: confirmedEpoch}
 	n.startChain()
--- a/internal/chain/propose.go
+++ b/internal/chain/propose.go
@@ -37,8 +37,8 @@
 		return View{}, false
 	}
 	candidates := n.chainCandidates(view, head)
-	length := n.leastChain(view)
-	if len(candidates)+1 < length {
+	length := min(n.wantedChain(view), len(candidates)+1)
+	if length < n.leastChain(view) {
 		return View{}, false
 	}
 	chosen := chooseMembers(head, candidates, length)
@@ -46,12 +46,22 @@
 	return view, true
 }
 
-// leastChain is the length that a chain must have: a majority of the voters, and more than may be lost at once.
+// leastChain is the length below which a chain does not work: a majority of the voters.
 func (n *Node) leastChain(view View) int {
 	if n.mistakes.chainOfOne {
 		return 1
 	}
-	return max(view.Majority(), min(n.options.MinimumChain, len(view.Voters)))
+	return view.Majority()
+}
+
+// wantedChain is the length of a chain in calm times: more than may be lost at once. Where the voters are too few for a majority to
+// outlast that, a shorter chain goes on after a loss, since one that waits for a lost disk would wait for ever.
+func (n *Node) wantedChain(view View) int {
+	least := n.leastChain(view)
+	if n.mistakes.chainOfOne {
+		return least
+	}
+	return max(least, min(n.options.MinimumChain, len(view.Voters)))
 }
 
 // nextVoters are the voters of this view with the change of the attempt, or the founders.
--- a/internal/chain/repair_test.go
+++ b/internal/chain/repair_test.go
@@ -95,3 +95,27 @@
 		}
 	}
 }
+
+// More is to be borne than the voters can bear: three of which two may be lost. In calm times all three hold every change; after the loss
+// of one the others go on, and once its successor votes the chain is whole again.
+func TestTooFewVotersGoOnAfterALoss(t *testing.T) {
+	for seed := range int64(9) {
+		s := newSimulation(t, seed, 3)
+		s.minimum = 3
+		s.startAll()
+		s.write("first")
+		s.write("second")
+		s.until(6*time.Second, func() bool { return len(s.newestView().Chain) == 3 && s.active() })
+		lost := s.processes[seed%3]
+		lost.kill(true)
+		lost.wipe()
+		s.write("short")
+		assert.Equal(t, len(s.newestView().Chain), 2)
+		lost.start(false)
+		s.until(10*time.Second, func() bool { return len(s.newestView().Chain) == 3 && s.active() })
+		epoch := s.newestView().Epoch
+		s.run(5 * time.Second)
+		assert.Equal(t, s.newestView().Epoch, epoch, "the view goes on changing")
+		s.finish("first", "short")
+	}
+}
--- a/internal/chain/simulation_test.go
+++ b/internal/chain/simulation_test.go
@@ -26,6 +26,7 @@
 	seeds     []string
 	trouble   networkTrouble
 	verbose   bool
+	minimum   int            // length of the chain that is wanted
 	soft      bool           // what is broken is noted, not fatal
 	watch     func(*process) // after every call of a node
 	executed  int            // events so far
@@ -83,6 +84,7 @@
 		t:       t,
 		random:  rand.New(rand.NewSource(seed)),
 		now:     time.Unix(1000, 0),
+		minimum: 2,
 		trouble: networkTrouble{minimumDelay: time.Millisecond, spreadDelay: 40 * time.Millisecond, cut: make(map[[2]int]bool)},
 	}
 	for number := range count {
@@ -185,7 +187,7 @@
 		Self:         p.self,
 		Bootstrap:    bootstrap,
 		Seeds:        p.simulation.seeds,
-		MinimumChain: 2,
+		MinimumChain: p.simulation.minimum,
 		Initial:      ledger{},
 		Decode:       decodeLedger,
 		AckBound:     simulatedBound,
--- a/internal/chain/voters.go
+++ b/internal/chain/voters.go
@@ -129,7 +129,17 @@
 	if dead, found := n.superfluous(); found {
 		return voterChange{remove: dead.Identity}
 	}
-	return voterChange{}
+	return voterChange{lengthen: n.mayLengthen()}
+}
+
+// mayLengthen tells whether the chain is shorter than wanted, and a voter outside of it can be counted on.
+func (n *Node) mayLengthen() bool {
+	if len(n.view.Chain) >= n.wantedChain(n.view) || n.now.Sub(n.activeSince) < candidateSteady {
+		return false
+	}
+	return slices.ContainsFunc(n.view.Voters, func(voter Member) bool {
+		return n.view.Place(voter.Identity) < 0 && !n.isDead(voter.Identity)
+	})
 }
 
 // superfluous finds a voter that is dead for long and outside the chain, where an even number votes and enough stay without it: its
--- a/internal/distribution/distribution_test.go
+++ b/internal/distribution/distribution_test.go
@@ -466,3 +466,16 @@
 	assert.Equal(t, relay.current.sequence, w.publishers["c1"].sequence)
 	assert.Assert(t, !relay.current.gap)
 }
+
+// What an endpoint said of itself does not go back, whoever tells of it later: neither to an older nor to a newer word of being ready.
+func TestDrainingIsNeverTakenBack(t *testing.T) {
+	for _, seq := range []uint64{1, 2, 3} {
+		w, relay := calmWorld()
+		w.setInstances(list(instanceOf("1", draining, 2)), "c1", "c2")
+		w.run(testLatency)
+		assert.Equal(t, stateAt(relay, "1"), draining)
+		w.setInstances(list(instanceOf("1", ready, seq)), "c1", "c2")
+		w.run(time.Second)
+		assert.Equal(t, stateAt(relay, "1"), draining)
+	}
+}
