Turn down orders about a zone that come late; remember 2048 taken orders

One that was held up by a frozen process or a cut, after the operator had it acknowledged elsewhere and gone on, undid the newer order. A taken configuration that was sent again after 256 others was refused. Change: an order about a zone carries how many changes were known where it was taken in, and is answered 503 where the zone has changed since and it would change it again; the state keeps when each zone was evacuated. The memory of taken orders holds 2048. An order whose caller has gone is not begun.

--- a/internal/config/apply.go
+++ b/internal/config/apply.go
@@ -20,7 +20,7 @@
 // A change of the configuration that is exactly one of the last that were taken is answered 200 again, whatever came since. Without
 // If-Match it is answered 400, with one that isn't the current version 412, when it is invalid or its version isn't higher than the
 // current one 400. A PATCH before the first configuration applies to an empty one. Evacuations are
-// idempotent and answered 200; whether there is such a zone is checked elsewhere.
+// idempotent and answered 200, but for those that come late, which are answered 503; whether there is such a zone is checked elsewhere.
 func (s *State) ApplyOrder(order Order) (*State, Verdict) {
 	switch order.Kind {
 	case Put, Patch:
@@ -31,9 +31,9 @@
 	}
 	switch order.Kind {
 	case Evacuate:
-		return s.applyEvacuation(order.Zone)
+		return s.applyEvacuation(order)
 	case Restore:
-		return s.applyRestoration(order.Zone)
+		return s.applyRestoration(order)
 	}
 	return s, refused(http.StatusBadRequest, order.Kind.String())
 }
@@ -97,29 +97,46 @@
 	return s.document
 }
 
-func (s *State) applyEvacuation(zone string) (*State, Verdict) {
-	at, found := slices.BinarySearch(s.evacuated, zone)
+func (s *State) applyEvacuation(order Order) (*State, Verdict) {
+	at, found := s.findEvacuation(order.Zone)
 	if found {
 		return s, Verdict{Status: http.StatusOK, Message: "evacuated before"}
 	}
+	if verdict, late := s.checkLate(order); late {
+		return s, verdict
+	}
 	next := s.next()
-	next.evacuated = slices.Insert(slices.Clone(s.evacuated), at, zone)
-	next.restored = withoutZone(s.restored, zone)
+	next.evacuated = slices.Insert(slices.Clone(s.evacuated), at, Evacuation{Zone: order.Zone, Revision: next.changes})
+	next.restored = withoutZone(s.restored, order.Zone)
 	return next, accepted("evacuated")
 }
 
-func (s *State) applyRestoration(zone string) (*State, Verdict) {
-	at, found := slices.BinarySearch(s.evacuated, zone)
+func (s *State) applyRestoration(order Order) (*State, Verdict) {
+	at, found := s.findEvacuation(order.Zone)
 	if !found {
 		return s, Verdict{Status: http.StatusOK, Message: "not evacuated"}
 	}
+	if verdict, late := s.checkLate(order); late {
+		return s, verdict
+	}
 	next := s.next()
 	next.evacuated = slices.Delete(slices.Clone(s.evacuated), at, at+1)
-	next.restored = append(withoutZone(s.restored, zone), Restoration{Zone: zone, Revision: next.changes})
+	next.restored = append(withoutZone(s.restored, order.Zone), Restoration{Zone: order.Zone, Revision: next.changes})
 	slices.SortFunc(next.restored, func(a, b Restoration) int { return strings.Compare(a.Zone, b.Zone) })
 	return next, accepted("taken back")
 }
 
+// checkLate turns down an order about a zone that was taken in before another one about the zone was known there: it may have been on its
+// way for long, and the operator has gone on since. One who still means it asks again.
+func (s *State) checkLate(order Order) (Verdict, bool) {
+	changed := s.zoneChangedAt(order.Zone)
+	if !order.HasKnown || order.Known >= changed {
+		return Verdict{}, false
+	}
+	reason := fmt.Sprintf("zone %s was changed by change %d, and this order knew of %d", order.Zone, changed, order.Known)
+	return refused(http.StatusServiceUnavailable, reason), true
+}
+
 // withoutZone returns a copy of the list without a zone.
 func withoutZone(list []Restoration, zone string) []Restoration {
 	return slices.DeleteFunc(slices.Clone(list), func(r Restoration) bool { return r.Zone == zone })
--- a/internal/config/order.go
+++ b/internal/config/order.go
@@ -46,6 +46,11 @@
 	HasMatch bool   // there was an If-Match
 	Body     []byte // of Put and Patch
 	Zone     string // of Evacuate and Restore
+
+	// With HasKnown, Known is what Changes was of the newest state that was known where an order about a zone was taken in. An order that
+	// comes late, after a newer one about its zone, is known by it.
+	HasKnown bool
+	Known    uint64
 }
 
 // Encode returns the order's replicated form.
@@ -56,6 +61,8 @@
 		Match:    o.Match,
 		Body:     o.Body,
 		Zone:     []byte(o.Zone),
+		HasKnown: o.HasKnown,
+		Known:    o.Known,
 	})
 }
 
@@ -74,6 +81,8 @@
 		Match:    message.Match,
 		Body:     message.Body,
 		Zone:     string(message.Zone),
+		HasKnown: message.HasKnown,
+		Known:    message.Known,
 	}, nil
 }
 
--- a/internal/config/state.go
+++ b/internal/config/state.go
@@ -2,11 +2,13 @@
 
 import (
 	"slices"
+	"strings"
 	"sync"
 )
 
-// rememberedOrders is how many of the newest orders taken are known again when they come once more.
-const rememberedOrders = 256
+// rememberedOrders is how many of the newest orders taken are known again when they come once more: at ten changes a second those of
+// more than three minutes, in 32 KiB.
+const rememberedOrders = 2048
 
 // State is what the operator's orders have led to: the configuration and the evacuated zones. It never changes; an order that is
 // taken leads to a new State. The same orders in the same order lead to the same bytes on every machine.
@@ -14,13 +16,19 @@
 	generation uint64
 	document   []byte
 	changes    uint64
-	evacuated  []string // in order of the name
+	evacuated  []Evacuation // in order of the name
 	restored   []Restoration
 	taken      []digest // the oldest first
 
 	parsed *parsed // of the document; nil before the first; states with the same document share it
 }
 
+// Evacuation is a zone that nothing is to be sent to.
+type Evacuation struct {
+	Zone     string
+	Revision uint64 // what Changes was just after it
+}
+
 // Restoration is a zone that was evacuated and taken back.
 type Restoration struct {
 	Zone     string
@@ -39,12 +47,36 @@
 // Changes counts the orders that changed the state.
 func (s *State) Changes() uint64 { return s.changes }
 
-// Evacuated returns the zones that nothing is to be sent to, in order of the name. It must not be changed.
-func (s *State) Evacuated() []string { return s.evacuated }
+// Evacuated returns the zones that nothing is to be sent to, in order of the name.
+func (s *State) Evacuated() []string {
+	zones := make([]string, 0, len(s.evacuated))
+	for _, evacuation := range s.evacuated {
+		zones = append(zones, evacuation.Zone)
+	}
+	return zones
+}
+
+// findEvacuation is the place of a zone among those that are evacuated, or the one where it would be.
+func (s *State) findEvacuation(zone string) (at int, found bool) {
+	return slices.BinarySearchFunc(s.evacuated, zone, func(e Evacuation, zone string) int { return strings.Compare(e.Zone, zone) })
+}
+
+// zoneChangedAt is what Changes was just after the newest order that changed a zone; 0: none did, as far as is remembered.
+func (s *State) zoneChangedAt(zone string) uint64 {
+	if at, found := s.findEvacuation(zone); found {
+		return s.evacuated[at].Revision
+	}
+	for _, restoration := range s.restored {
+		if restoration.Zone == zone {
+			return restoration.Revision
+		}
+	}
+	return 0
+}
 
 // IsEvacuated tells whether nothing is to be sent to a zone.
 func (s *State) IsEvacuated(zone string) bool {
-	_, found := slices.BinarySearch(s.evacuated, zone)
+	_, found := s.findEvacuation(zone)
 	return found
 }
 
--- a/internal/config/state_test.go
+++ b/internal/config/state_test.go
@@ -62,9 +62,9 @@
 	refusedWith(t, state, patch(0, string(smallDocument(1, "a"))), 412)
 }
 
-// An order that was taken is answered 200 whatever came since, for the last 256 of them.
+// An order that was taken is answered 200 whatever came since, for the last 2048 of them, also by a state that came as a snapshot.
 func TestTheSameAgainAfterOthers(t *testing.T) {
-	const remembered = 256
+	const remembered = 2048
 	state := config.EmptyState()
 	var orders []config.Order
 	for version := uint64(0); version < remembered+10; version++ {
@@ -78,6 +78,34 @@
 		assert.Assert(t, next == state && !verdict.Accepted)
 	}
 	refusedWith(t, state, orders[0], 412)
+	refusedWith(t, state, orders[9], 412) // the newest that is forgotten
+	copied, err := config.DecodeState(state.Encode())
+	assert.NilError(t, err)
+	_, verdict := copied.ApplyOrder(orders[10])
+	assert.Equal(t, verdict.Status, 200)
+	refusedWith(t, copied, orders[9], 412)
+}
+
+// An order about a zone that was taken in before a newer one about it was known there comes late: it must not undo that one.
+func TestLateOrderAboutAZoneChangesNothing(t *testing.T) {
+	about := func(kind config.OrderKind, zone string, known uint64) config.Order {
+		return config.Order{Kind: kind, Zone: zone, HasKnown: true, Known: known}
+	}
+	state := taken(t, config.EmptyState(), about(config.Evacuate, "z", 0))
+	state = taken(t, state, about(config.Restore, "z", 1))
+	refusedWith(t, state, about(config.Evacuate, "z", 1), 503) // of before it was taken back
+	state = taken(t, state, about(config.Evacuate, "z", 2))
+	refusedWith(t, state, about(config.Restore, "z", 2), 503) // the first restoration, once more
+	for _, known := range []uint64{0, 3} {
+		next, verdict := state.ApplyOrder(about(config.Evacuate, "z", known)) // what it asks for holds already
+		assert.Assert(t, next == state && verdict.Status == 200)
+	}
+	copied, err := config.DecodeState(state.Encode())
+	assert.NilError(t, err)
+	refusedWith(t, copied, about(config.Restore, "z", 2), 503)
+	state = taken(t, state, about(config.Evacuate, "other", 0)) // other zones have no say
+	taken(t, copied, about(config.Restore, "z", 3))
+	taken(t, state, about(config.Restore, "other", 4))
 }
 
 func TestPatchOrders(t *testing.T) {
--- a/internal/config/statecode.go
+++ b/internal/config/statecode.go
@@ -15,7 +15,10 @@
 		Generation: s.generation,
 		Document:   s.document,
 		Changes:    s.changes,
-		Evacuated:  s.evacuated,
+	}
+	for _, evacuation := range s.evacuated {
+		message.Evacuated = append(message.Evacuated, evacuation.Zone)
+		message.EvacuatedAt = append(message.EvacuatedAt, evacuation.Revision)
 	}
 	for _, restoration := range s.restored {
 		message.Restored = append(message.Restored, &configpb.Restoration{
@@ -39,7 +42,13 @@
 		generation: message.Generation,
 		document:   message.Document,
 		changes:    message.Changes,
-		evacuated:  message.Evacuated,
+	}
+	for index, zone := range message.Evacuated {
+		evacuation := Evacuation{Zone: zone}
+		if index < len(message.EvacuatedAt) { // an older state has none
+			evacuation.Revision = message.EvacuatedAt[index]
+		}
+		state.evacuated = append(state.evacuated, evacuation)
 	}
 	for _, restoration := range message.Restored {
 		state.restored = append(state.restored, Restoration{Zone: restoration.Zone, Revision: restoration.Revision})
@@ -65,7 +74,7 @@
 
 // check refuses a state that no orders lead to.
 func (s *State) check() error {
-	if !slices.IsSorted(s.evacuated) {
+	if !slices.IsSorted(s.Evacuated()) {
 		return trace.BadParameter("configuration state: zones out of order")
 	}
 	if len(s.document) == 0 {
--- a/internal/control/api.go
+++ b/internal/control/api.go
@@ -101,7 +101,7 @@
 		}
 		order.HasMatch = true
 	}
-	p.submit(w, order)
+	p.submit(w, r, order)
 }
 
 func readBody(w http.ResponseWriter, r *http.Request, most int64) ([]byte, error) {
@@ -119,24 +119,40 @@
 	httpapi.Refuse(w, http.StatusServiceUnavailable, "the body did not come whole: "+err.Error())
 }
 
-func (p *Process) evacuate(w http.ResponseWriter, _ *http.Request, params httprouter.Params) {
-	p.orderZone(w, config.Evacuate, params.ByName("zone"))
+func (p *Process) evacuate(w http.ResponseWriter, r *http.Request, params httprouter.Params) {
+	p.orderZone(w, r, config.Evacuate, params.ByName("zone"))
 }
 
-func (p *Process) restore(w http.ResponseWriter, _ *http.Request, params httprouter.Params) {
-	p.orderZone(w, config.Restore, params.ByName("zone"))
+func (p *Process) restore(w http.ResponseWriter, r *http.Request, params httprouter.Params) {
+	p.orderZone(w, r, config.Restore, params.ByName("zone"))
 }
 
-func (p *Process) orderZone(w http.ResponseWriter, kind config.OrderKind, zone string) {
+func (p *Process) orderZone(w http.ResponseWriter, r *http.Request, kind config.OrderKind, zone string) {
 	if _, known := p.settings.Zones[zone]; !known {
 		httpapi.Refuse(w, http.StatusNotFound, "no zone "+zone)
 		return
 	}
-	p.submit(w, config.Order{Kind: kind, Zone: zone})
+	p.submit(w, r, p.zoneOrder(kind, zone))
 }
 
-// submit hands an order to the chain and answers with its outcome.
-func (p *Process) submit(w http.ResponseWriter, order config.Order) {
+// zoneOrder is an order about a zone, with how far this process knows the state.
+func (p *Process) zoneOrder(kind config.OrderKind, zone string) config.Order {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	order := config.Order{Kind: kind, Zone: zone, HasKnown: true}
+	if state := p.published.state; state != nil {
+		order.Known = state.Changes()
+	}
+	return order
+}
+
+// submit hands an order to the chain and answers with its outcome. An operator who has hung up sends the order elsewhere: it is not
+// begun here as well.
+func (p *Process) submit(w http.ResponseWriter, r *http.Request, order config.Order) {
+	if r.Context().Err() != nil {
+		httpapi.Refuse(w, http.StatusServiceUnavailable, "the caller has gone")
+		return
+	}
 	within := answerWithin
 	if len(order.Body) > largeBody {
 		within = largeBodyWithin
--- a/internal/control/world_actors_test.go
+++ b/internal/control/world_actors_test.go
@@ -499,7 +499,11 @@
 	again(time.Second)
 	const answersLost = 6 // one in so many
 	lost := w.random.Intn(answersLost) == 0
-	w.ask(c, c.process.orderFor(o.order), func(answer chain.Answer) {
+	order := o.order
+	if order.Zone != "" {
+		order = c.process.zoneOrder(order.Kind, order.Zone)
+	}
+	w.ask(c, c.process.orderFor(order), func(answer chain.Answer) {
 		status, body := orderOutcome(answer)
 		if o.tries != try || lost {
 			return
