Cut a control process off for twenty seconds in every way, whatever its part

Head, tail and a voter outside the chain, cut off from the core, from all, with its zone, one way each, also started again meanwhile: no read that is older than what was acknowledged, no order taken or refused, no departure acknowledged, no relay fed as if in touch; up to date at the first answer.

--- /dev/null
+++ b/internal/control/world_cut_test.go
@@ -0,0 +1,223 @@
+package control
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"wallflow/internal/chain"
+	"wallflow/internal/config"
+	"wallflow/internal/registry"
+)
+
+// cutShape is a way in which a control process is cut off.
+type cutShape struct {
+	name  string
+	apply func(w *world, c *controlMachine)
+}
+
+func cutShapes() []cutShape {
+	otherZones := func(c *controlMachine) func(*machine) bool {
+		return func(other *machine) bool { return other.zone != c.zone }
+	}
+	return []cutShape{
+		{"from the core", func(w *world, c *controlMachine) { w.isolate(c.machine, true, true, w.isControl) }},
+		{"from all", func(w *world, c *controlMachine) { w.isolate(c.machine, true, true, everyone) }},
+		{"with its zone", func(w *world, c *controlMachine) {
+			for _, m := range w.machines {
+				if m.zone == c.zone {
+					w.isolate(m, true, true, otherZones(c))
+				}
+			}
+		}},
+		{"heard and hearing nobody", func(w *world, c *controlMachine) { w.isolate(c.machine, false, true, everyone) }},
+		{"hearing and heard by nobody", func(w *world, c *controlMachine) { w.isolate(c.machine, true, false, everyone) }},
+		{"from the core, hearing it", func(w *world, c *controlMachine) { w.isolate(c.machine, true, false, w.isControl) }},
+	}
+}
+
+// part is what the process that is cut off was.
+type part int
+
+const (
+	partHead part = iota
+	partTail
+	partVoter
+	parts
+)
+
+func (p part) String() string { return [...]string{"head", "tail", "voter outside the chain"}[p] }
+
+// machineOf finds the process that has a part in the newest view.
+func (w *world) machineOf(wanted part) *controlMachine {
+	view := chain.View{}
+	for _, c := range w.controls {
+		if known := c.process.chain.View(); known.Epoch > view.Epoch {
+			view = known
+		}
+	}
+	for _, c := range w.controls {
+		identity := c.process.chain.Identity()
+		inChain := view.Place(identity) >= 0
+		switch {
+		case wanted == partHead && view.Head() == identity, wanted == partTail && view.Tail() == identity, wanted == partVoter && !inChain:
+			return c
+		}
+	}
+	w.t.Fatalf("no %v", wanted)
+	return nil
+}
+
+// readAt reads the configuration at a process, and returns the status and the version that it answers with.
+func (w *world) readAt(c *controlMachine) (status int, generation uint64) {
+	status = -1
+	w.ask(c, c.process.chain.Read, func(answer chain.Answer) {
+		var body []byte
+		status, body = readOutcome(answer)
+		if document, err := config.Parse(body); err == nil {
+			generation = document.Generation
+		}
+	})
+	for status < 0 {
+		w.run(5 * time.Millisecond)
+	}
+	return status, generation
+}
+
+// isolated tells whether a process reaches no majority any more.
+func (w *world) isolated(c *controlMachine) bool { return !slices.Contains(w.majority(), c) }
+
+// A control process is cut off for twenty seconds, in every way, whatever its part. Meanwhile it answers no read, takes and refuses no
+// order, acknowledges no departure and feeds no relay as if it were in touch; the others go on. Afterwards it is up to date at its first
+// answer.
+func TestControlProcessCutOffForTwentySeconds(t *testing.T) {
+	t.Parallel()
+	var toRefusal, toFresh []time.Duration
+	for index, shape := range cutShapes() {
+		for cutPart := range parts {
+			for seed := range int64(3) {
+				w := newWorld(t, 100*seed+int64(index), worldOptions{controls: 5, zones: 3, relays: 3, endpoints: 4, tolerate: 1})
+				w.run(12 * time.Second)
+				c := w.machineOf(cutPart)
+				name := fmt.Sprintf("%v cut off %s, seed %d", cutPart, shape.name, seed)
+				shape.apply(w, c)
+				isolated := w.isolated(c)
+				began := w.now
+				acked := w.acked
+				if isolated {
+					toRefusal = append(toRefusal, w.untilRefused(c, began, name))
+					w.checkCutOff(c, name)
+				}
+				w.run(20*time.Second - w.now.Sub(began))
+				assert.Assert(t, w.acked > acked+5, "%s: %d orders acknowledged", name, w.acked-acked)
+				newest := w.ledger.mustHold(w.now)
+				clear(w.cut)
+				for _, m := range w.machines {
+					w.disturb(m)
+				}
+				if isolated {
+					toFresh = append(toFresh, w.untilFresh(c, newest, name))
+				}
+				w.run(8 * time.Second)
+				assert.Equal(t, len(w.broken), 0, "%s: %v", name, w.broken)
+			}
+		}
+	}
+	t.Logf("from the cut to the first 503: %s", spread(toRefusal))
+	t.Logf("from its end to the first answer, which was up to date: %s", spread(toFresh))
+}
+
+// spread tells the middle and the largest of some times.
+func spread(times []time.Duration) string {
+	slices.Sort(times)
+	return fmt.Sprintf("p50 %v, most %v of %d", times[len(times)/2], times[len(times)-1], len(times))
+}
+
+// untilRefused asks a process again and again until it answers no more. Until then its answers are not older than what was acknowledged.
+func (w *world) untilRefused(c *controlMachine, began time.Time, name string) time.Duration {
+	for {
+		least := w.ledger.mustHold(w.now)
+		status, generation := w.readAt(c)
+		if status == http.StatusServiceUnavailable {
+			return w.now.Sub(began)
+		}
+		assert.Assert(w.t, generation >= least, name)
+		assert.Assert(w.t, w.now.Sub(began) < 3*time.Second, "%s: still answers", name)
+	}
+}
+
+// checkCutOff holds what a process that reaches no majority must not do, once it had the time to notice.
+func (w *world) checkCutOff(c *controlMachine, name string) {
+	w.run(2 * time.Second)
+	hears := !w.cut[[2]int{w.machineOf(partTail).number, c.number}]
+	assert.Assert(w.t, hears || !c.process.inTouch(), "%s: in touch", name) // one that hears the tail holds what it does
+	_, before := c.process.chain.Committed()
+	for _, order := range []config.Order{
+		{Kind: config.Put, HasMatch: true, Match: w.ledger.current, Body: documentOf(w.ledger.current+1, "cut off")},
+		{Kind: config.Put, HasMatch: true, Match: 0, Body: documentOf(1, "on an old version")},
+		{Kind: config.Put, HasMatch: true, Match: w.ledger.current, Body: []byte("{")},
+		{Kind: config.Evacuate, Zone: w.zones[0]},
+	} {
+		status := -1
+		w.ask(c, c.process.orderFor(order), func(answer chain.Answer) { status, _ = orderOutcome(answer) })
+		for status < 0 {
+			w.run(5 * time.Millisecond)
+		}
+		assert.Equal(w.t, status, http.StatusServiceUnavailable, "%s: %v", name, order.Kind)
+	}
+	_, after := c.process.chain.Committed()
+	assert.Assert(w.t, after >= before)
+	beat := registry.Heartbeat{ID: "cut off", Backend: "b", Address: "10.9.9.9:80", Zone: c.zone, Slots: 4, State: registry.StateDraining, Seq: 1}
+	safe, _ := c.process.spreadChange(func(now time.Time) registry.Change { return c.process.instances.Heartbeat(now, beat) })
+	assert.Assert(w.t, safe != nil)
+	w.run(replicatedWithin)
+	select {
+	case <-safe:
+		w.t.Fatalf("%s: a departure is acknowledged", name)
+	default:
+	}
+}
+
+// untilFresh asks a process again and again until it answers: with what was acknowledged before, or something newer.
+func (w *world) untilFresh(c *controlMachine, newest uint64, name string) time.Duration {
+	began := w.now
+	for {
+		status, generation := w.readAt(c)
+		if status == http.StatusOK {
+			assert.Assert(w.t, generation >= newest, "%s: version %d, %d was acknowledged before the end of the cut", name, generation, newest)
+			return w.now.Sub(began)
+		}
+		assert.Assert(w.t, w.now.Sub(began) < 5*time.Second, "%s: does not answer again", name)
+	}
+}
+
+// The same with the process started again while it is cut off, knowing nothing but its disk.
+func TestProcessStartedAgainWhileCutOffSaysNothing(t *testing.T) {
+	t.Parallel()
+	for cutPart := range parts {
+		for seed := range int64(3) {
+			w := newWorld(t, seed, worldOptions{controls: 5, zones: 3, relays: 3, endpoints: 4, tolerate: 1})
+			w.run(12 * time.Second)
+			c := w.machineOf(cutPart)
+			name := fmt.Sprintf("%v, seed %d", cutPart, seed)
+			w.isolate(c.machine, true, true, everyone)
+			c.kill(true)
+			w.run(time.Second)
+			c.start(false)
+			w.run(time.Second)
+			status, _ := w.readAt(c)
+			assert.Equal(t, status, http.StatusServiceUnavailable, name)
+			w.checkCutOff(c, name)
+			w.run(15 * time.Second)
+			newest := w.ledger.mustHold(w.now)
+			clear(w.cut)
+			w.untilFresh(c, newest, name)
+			w.run(8 * time.Second)
+			assert.Equal(t, len(w.broken), 0, "%s: %v", name, w.broken)
+		}
+	}
+}
--- a/internal/control/world_walk_test.go
+++ b/internal/control/world_walk_test.go
@@ -270,6 +270,7 @@
 // Whole control planes are played through everything that may befall them. A walk that breaks something names its seed; -world.first
 // plays it again.
 func TestControlPlanesKeepTheirWord(t *testing.T) {
+	t.Parallel()
 	worlds := make([]*world, *worldWalks)
 	testkit.Each(len(worlds), func(index int) {
 		worlds[index] = playWorld(t, *worldFirst+int64(index))
