Only an answer to a recent question makes a process outside the chain fresh

Cause: what the tail says counted from the moment at which it came. Found by TestCatchesUpUnderManyChanges (5,000 routes over 8 Mbit/s). Change: a process outside the chain asks the tail every 300 ms, and an answer confirms the epoch for the time of the question; at the tail the beats of the first 200 ms after a silence confirm nothing.

--- a/internal/chain/beat.go
+++ b/internal/chain/beat.go
@@ -32,8 +32,12 @@
 // passBeat passes a beat on, or turns it round at the tail.
 func (n *Node) passBeat(number uint64) {
 	n.beats[number%beatsHeld] = beatTime{number: number, at: n.now}
+	if n.now.Sub(n.beatPassedAt) >= freshFor {
+		n.beatsSince = n.now
+	}
+	n.beatPassedAt = n.now
 	if n.isTail() {
-		n.confirm(number)
+		n.confirmAtTail(number)
 		n.acknowledge(number)
 		n.feedDigests()
 		return
@@ -56,6 +60,14 @@
 	}
 }
 
+// confirmAtTail takes a beat that has passed the whole chain. The first ones after a silence may have been under way for long, or have
+// waited while this process stood still: they prove nothing.
+func (n *Node) confirmAtTail(number uint64) {
+	if n.isHead() || n.now.Sub(n.beatsSince) >= beatsSettle {
+		n.confirm(number)
+	}
+}
+
 // confirm notes that the epoch was in force when a beat passed here.
 func (n *Node) confirm(number uint64) {
 	passed := n.beats[number%beatsHeld]
--- a/internal/chain/feed.go
+++ b/internal/chain/feed.go
@@ -13,12 +13,18 @@
 	followers map[Identity]*follower
 	wantedAt  time.Time
 	helloAt   time.Time
+	token     uint64 // of the newest question to a tail; the first one is drawn, so that those of another life are known
+	questions [questionsHeld]beatTime
 }
 
+// questionsHeld is how many questions to the tail are remembered: those of more than the time for which a confirmation holds.
+const questionsHeld = 16
+
 // follower is a process that gets committed entries.
 type follower struct {
 	address  string
 	heardAt  time.Time
+	token    uint64 // of its newest question
 	position uint64 // up to which entries were sent
 	known    bool   // the position is the follower's own, or was sent since
 }
@@ -26,7 +32,9 @@
 // inOrder are the followers in a fixed order.
 func (f *feed) inOrder() []Identity { return slices.Sorted(maps.Keys(f.followers)) }
 
-func newFeed() feed { return feed{followers: make(map[Identity]*follower)} }
+func newFeed(firstToken uint64) feed {
+	return feed{followers: make(map[Identity]*follower), token: firstToken}
+}
 
 // tickFeed keeps the list of followers: who is alive outside the chain, or asked lately.
 func (n *Node) tickFeed() {
@@ -87,6 +95,7 @@
 func (n *Node) sendFeed(identity Identity, to *follower, message *chainpb.Feed) {
 	message.Committed = n.log.committed
 	message.Confirmed = n.Fresh(n.now)
+	message.Token = to.token
 	if len(message.Entries) > 0 || message.Snapshot != nil {
 		to.position = n.log.committed
 	}
@@ -105,6 +114,7 @@
 	}
 	each := n.follow(sender, n.addressOf(sender))
 	each.known = true
+	each.token = want.Token
 	after, possible := n.commonPosition(want.LastEpoch, want.LastPosition, want.Committed)
 	if possible {
 		each.position = min(after, n.log.committed)
@@ -126,14 +136,24 @@
 		return
 	}
 	n.feed.wantedAt = n.now
+	n.feed.token++
+	n.feed.questions[n.feed.token%questionsHeld] = beatTime{number: n.feed.token, at: n.now}
 	n.send(tail, &chainpb.Message{Body: &chainpb.Message_Want{Want: &chainpb.Want{
 		LastEpoch:    n.log.lastEpoch(),
 		LastPosition: n.log.lastPosition(),
 		Committed:    n.log.committed,
 		Member:       memberToWire(n.self),
+		Token:        n.feed.token,
 	}}})
 }
 
+// tickQuestions has a process outside the chain ask the tail from time to time: only an answer proves that its epoch is in force.
+func (n *Node) tickQuestions() {
+	if n.view.Epoch > 0 && n.now.Sub(n.feed.wantedAt) >= beatInterval {
+		n.want(n.view.Tail())
+	}
+}
+
 // receiveFeed follows the committed entries. A member of the chain gets its entries from its predecessor alone.
 func (n *Node) receiveFeed(sender Identity, epoch uint64, message *chainpb.Feed) {
 	if n.inChain() || n.journal.failed {
@@ -152,12 +172,17 @@
 	n.confirmByFeed(epoch, message)
 }
 
-// confirmByFeed notes that the epoch is in force, if all that the tail has committed is here: a process that hears the tail and
-// cannot ask it for what it lacks must not pass for one that is up to date.
+// confirmByFeed notes that the epoch was in force when the question was sent that the tail answers, if all that the tail has committed
+// is here. What comes unasked may have been under way for long, or have waited while this process stood still: it proves nothing.
 func (n *Node) confirmByFeed(epoch uint64, message *chainpb.Feed) {
-	if message.Confirmed && epoch == n.view.Epoch && n.log.committed >= message.Committed {
-		n.confirmedAt, n.confirmedEpoch = n.now, epoch
+	if !message.Confirmed || epoch != n.view.Epoch || n.log.committed < message.Committed {
+		return
+	}
+	asked := n.feed.questions[message.Token%questionsHeld]
+	if message.Token == 0 || asked.number != message.Token || asked.at.Before(n.confirmedAt) {
+		return
 	}
+	n.confirmedAt, n.confirmedEpoch = asked.at, epoch
 }
 
 // takeSnapshot replaces the log, unless that holds as much: what follows in it may have been answered in a newer epoch.
--- a/internal/chain/feed_test.go
+++ b/internal/chain/feed_test.go
@@ -126,3 +126,57 @@
 	after, _ := p.node.Committed()
 	assert.DeepEqual(t, after.(ledger).taken, before.(ledger).taken)
 }
+
+// A word of the tail that was under way for long says what was in force long ago: only the answer to a question that was sent a moment ago
+// makes a process fresh.
+func TestOnlyAnAnswerToARecentQuestionConfirms(t *testing.T) {
+	s, p := voterOutsideChain(t, 3)
+	tail := s.byIdentity(s.newestView().Tail())
+	say := func(token uint64) {
+		epoch, position := p.node.log.committedEpoch(), p.node.log.committed
+		p.node.Receive(s.now, tail.self.Address, &chainpb.Message{
+			From: string(tail.node.Identity()), To: string(p.node.Identity()), Epoch: p.node.View().Epoch,
+			Body: &chainpb.Message_Feed{Feed: &chainpb.Feed{
+				PreviousEpoch: epoch, PreviousPosition: position, Committed: position, Confirmed: true, Token: token,
+			}},
+		})
+	}
+	assert.Assert(t, p.node.Fresh(s.now))
+	old := p.node.feed.token
+	s.isolateFor(p, 2*time.Second)
+	assert.Assert(t, !p.node.Fresh(s.now))
+	say(0)
+	say(old)
+	say(old + 1<<40) // of another life
+	assert.Assert(t, !p.node.Fresh(s.now))
+	say(p.node.feed.token)
+	assert.Assert(t, p.node.Fresh(s.now))
+}
+
+// isolateFor lets time pass in which a process hears nobody.
+func (s *simulation) isolateFor(p *process, duration time.Duration) {
+	for _, other := range s.processes {
+		s.trouble.cut[[2]int{other.number, p.number}] = true
+	}
+	s.run(duration)
+}
+
+// A tail that stood still finds beats that waited for it when it goes on. They are of a time long gone, and another view may be in force.
+func TestFrozenTailIsNotFreshByWhatWaited(t *testing.T) {
+	for seed := range int64(12) {
+		s := settled(t, seed, 3)
+		tail := s.byIdentity(s.newestView().Tail())
+		epoch := s.newestView().Epoch
+		tail.frozen = true
+		s.until(6*time.Second, func() bool { return s.newestView().Epoch > epoch && s.active() })
+		s.write("without it")
+		s.watch = func(p *process) {
+			if p == tail && p.node.View().Epoch == epoch && p.node.Fresh(s.now) {
+				s.fail("fresh in an epoch that is over")
+			}
+		}
+		tail.frozen = false
+		s.run(2 * time.Second)
+		s.finish("without it")
+	}
+}
--- a/internal/chain/install.go
+++ b/internal/chain/install.go
@@ -18,6 +18,8 @@
 	beatSentAt     time.Time // head: when it went out
 	beatUnheard    time.Time // head: when the oldest beat without an acknowledgement went out
 	beatHeardAt    time.Time // others: when the predecessor last sent anything
+	beatPassedAt   time.Time // when a beat last passed here
+	beatsSince     time.Time // when the first beat passed here after a silence
 	ackHeardAt     time.Time // all but the tail: when the successor last sent anything
 	beats          [beatsHeld]beatTime
 	confirmedAt    time.Time // the epoch was in force at this time
--- a/internal/chain/node.go
+++ b/internal/chain/node.go
@@ -55,7 +55,7 @@
 		viewSince:  now,
 		acceptor:   acceptor{instance: 1},
 		membership: newMembership(),
-		feed:       newFeed(),
+		feed:       newFeed(options.Random.Uint64() >> 1),
 		clients:    newClients(),
 	}
 	n.self.Identity = ""
@@ -132,6 +132,7 @@
 		n.tickTrouble()
 		n.tickChain()
 		n.tickLearner()
+		n.tickQuestions()
 		n.tickFeed()
 		n.tickElection()
 		n.tickVoters()
--- a/internal/chain/types.go
+++ b/internal/chain/types.go
@@ -140,6 +140,7 @@
 	readRetry         = 250 * time.Millisecond  // a read without answer is sent again
 	beatInterval      = 300 * time.Millisecond  // from head to tail, and digests to learners
 	freshFor          = time.Second             // how long a confirmation of the epoch holds
+	beatsSettle       = 200 * time.Millisecond  // after a silence, before beats confirm at the tail
 	quietBeforeVote   = 600 * time.Millisecond  // a voter that heard no confirmation for so long supports a new view
 	joinRetry         = 200 * time.Millisecond  // a member asks its predecessor again
 	startGrace        = 700 * time.Millisecond  // after a start, nobody is held dead yet
--- a/internal/mutation/listed.go
+++ b/internal/mutation/listed.go
@@ -97,6 +97,12 @@
 func followerMistakes() []mistake {
 	const feed, voters = "internal/chain/feed.go", "internal/chain/voters.go"
 	return []mistake{
+		{"catch-up: a word of the tail that nobody asked for confirms", feed,
+			"\tif message.Token == 0 || asked.number != message.Token ||", "\tif message.Token == 0 {\n\t\tasked.at = n.now\n\t}\n\tif asked.number != message.Token && message.Token != 0 ||", chainTests},
+		{"catch-up: an answer confirms for the time at which it comes", feed,
+			"n.confirmedAt, n.confirmedEpoch = asked.at, epoch", "n.confirmedAt, n.confirmedEpoch = n.now, epoch", chainTests},
+		{"digests: beats that waited for a frozen tail confirm", "internal/chain/beat.go",
+			"n.isHead() || n.now.Sub(n.beatsSince) >= beatsSettle", "true", chainTests},
 		{"catch-up: a feed is taken without looking at what comes before it", feed,
 			"\tif !n.matches(message.PreviousEpoch, message.PreviousPosition) {", "\tif false {", chainTests},
 		{"catch-up: a snapshot is installed without being written", feed,
