Standard terms: acceptor, limited server, exchange, relayed probe, update, checkpoint

Names alone: door, lane and flight of the proxy, errand and rumor of membership, mark and sick of the chain.

--- a/internal/chain/acceptor.go
+++ b/internal/chain/acceptor.go
@@ -74,7 +74,7 @@
 	promise.Installed = n.installed
 	promise.Position = n.log.lastPosition()
 	promise.Unheard = n.unheard()
-	promise.Sick = n.sick()
+	promise.Sick = n.impaired()
 	if !n.acceptor.accepted.zero() {
 		promise.Accepted = ballotToWire(n.acceptor.accepted)
 		promise.View = viewToWire(n.acceptor.view)
--- a/internal/chain/beat.go
+++ b/internal/chain/beat.go
@@ -22,7 +22,7 @@
 func (n *Node) sendBeat() {
 	n.beat++
 	n.beatSentAt = n.now
-	n.markCommitted()
+	n.takeCheckpoint()
 	if n.beatUnheard.IsZero() {
 		n.beatUnheard = n.now
 	}
--- a/internal/chain/election.go
+++ b/internal/chain/election.go
@@ -51,7 +51,7 @@
 // suspicion tells why a new view is needed, if it is.
 func (n *Node) suspicion() chainpb.Reason {
 	switch {
-	case !n.votes() || n.sick():
+	case !n.votes() || n.impaired():
 		return chainpb.Reason_REASON_UNSPECIFIED
 	case n.view.Epoch == 0:
 		return chainpb.Reason_REASON_FOUND
--- a/internal/chain/install.go
+++ b/internal/chain/install.go
@@ -27,8 +27,8 @@
 	activeSince    time.Time // head: since when the whole chain has installed the epoch
 	entryWaits     time.Time // head: since when entries wait to be committed
 	candidates     map[Identity]*candidate
-	marks          [marksHeld]commitMark // head: the newest first
-	votersAfter    time.Time             // head: no change of the voters before
+	checkpoints    [checkpointsHeld]checkpoint // head: the newest first
+	votersAfter    time.Time                   // head: no change of the voters before
 }
 
 const beatsHeld = 8
--- a/internal/chain/journal.go
+++ b/internal/chain/journal.go
@@ -84,7 +84,7 @@
 	if token != j.token {
 		return n.finish()
 	}
-	wasLate := now.Sub(j.since) > n.options.AckBound/sickShare
+	wasLate := now.Sub(j.since) > n.options.AckBound/impairedShare
 	j.token = 0
 	if err != nil {
 		n.writeFailed(err)
@@ -139,8 +139,8 @@
 	}
 }
 
-// sick tells whether the node can't be counted on: its disk does not keep up, did not until a moment ago, or failed, or it leaves.
-func (n *Node) sick() bool {
+// impaired tells whether the node can't be counted on: its disk does not keep up, did not until a moment ago, or failed, or it leaves.
+func (n *Node) impaired() bool {
 	j := &n.journal
 	if n.leaving || j.failed || n.writeLate() {
 		return true
@@ -149,5 +149,5 @@
 }
 
 func (n *Node) writeLate() bool {
-	return n.journal.token != 0 && n.now.Sub(n.journal.since) > n.options.AckBound/sickShare
+	return n.journal.token != 0 && n.now.Sub(n.journal.since) > n.options.AckBound/impairedShare
 }
--- a/internal/chain/membership.go
+++ b/internal/chain/membership.go
@@ -8,15 +8,15 @@
 
 // membership is what a node knows about which processes are alive and able.
 type membership struct {
-	told      bool // Liveness was called
-	alive     map[Identity]Member
-	aliveAt   map[string]Identity // by address, to see a store that took another's place
-	deadSince map[Identity]time.Time
-	addresses map[Identity]string // from where a process was last heard
-	troubled  map[Identity]time.Time
-	notified  map[Identity]time.Time // when it was last sent a view notice, or asked for one
-	troubleAt time.Time              // when the own trouble was last told
-	wasSick   bool
+	told        bool // Liveness was called
+	alive       map[Identity]Member
+	aliveAt     map[string]Identity // by address, to see a store that took another's place
+	deadSince   map[Identity]time.Time
+	addresses   map[Identity]string // from where a process was last heard
+	troubled    map[Identity]time.Time
+	notified    map[Identity]time.Time // when it was last sent a view notice, or asked for one
+	troubleAt   time.Time              // when the own trouble was last told
+	wasImpaired bool
 }
 
 func newMembership() membership {
@@ -161,22 +161,22 @@
 // tickTrouble tells the voters whether this node can be counted on.
 func (n *Node) tickTrouble() {
 	m := &n.membership
-	sick := n.sick()
-	if !sick && !m.wasSick {
+	impaired := n.impaired()
+	if !impaired && !m.wasImpaired {
 		return
 	}
-	if sick && m.wasSick && n.now.Sub(m.troubleAt) < troubleResend {
+	if impaired && m.wasImpaired && n.now.Sub(m.troubleAt) < troubleResend {
 		return
 	}
-	if sick && !m.wasSick && n.leaving {
+	if impaired && !m.wasImpaired && n.leaving {
 		n.logf("stopping, leaving the chain")
-	} else if sick && !m.wasSick {
+	} else if impaired && !m.wasImpaired {
 		n.logf("the disk does not keep up, leaving the chain")
 	}
-	m.wasSick, m.troubleAt = sick, n.now
+	m.wasImpaired, m.troubleAt = impaired, n.now
 	for _, voter := range n.view.Voters {
 		if voter.Identity != n.self.Identity {
-			n.send(voter.Identity, &chainpb.Message{Body: &chainpb.Message_Trouble{Trouble: &chainpb.Trouble{Fit: !sick}}})
+			n.send(voter.Identity, &chainpb.Message{Body: &chainpb.Message_Trouble{Trouble: &chainpb.Trouble{Fit: !impaired}}})
 		}
 	}
 }
--- a/internal/chain/propose.go
+++ b/internal/chain/propose.go
@@ -127,7 +127,7 @@
 // chainCandidate is one that may be a member of the chain, with what speaks for and against it.
 type chainCandidate struct {
 	member   Member
-	sick     bool // its disk does not keep up
+	impaired bool // its disk does not keep up
 	unheard  bool // by a neighbour
 	outside  bool // it is not in the chain now
 	newcomer bool // it did not promise, as it becomes a voter with this view
@@ -147,7 +147,7 @@
 		}
 		candidates = append(candidates, chainCandidate{
 			member:   voter,
-			sick:     promise.GetSick(),
+			impaired: promise.GetSick(),
 			unheard:  complaints[voter.Identity],
 			outside:  n.view.Place(voter.Identity) < 0,
 			newcomer: newcomer,
@@ -173,7 +173,7 @@
 func compareCandidates(a, b chainCandidate) int {
 	return cmp.Or(
 		compareFlags(a.newcomer, b.newcomer),
-		compareFlags(a.sick, b.sick),
+		compareFlags(a.impaired, b.impaired),
 		compareFlags(a.unheard, b.unheard),
 		compareFlags(a.outside, b.outside),
 		cmp.Compare(a.distance, b.distance),
--- a/internal/chain/types.go
+++ b/internal/chain/types.go
@@ -164,7 +164,7 @@
 	fitAfter          = time.Second             // a disk works this long before it counts as well
 	rewriteRetry      = time.Second             // after a failed write
 	followerForget    = 3 * time.Second         // learner feed to one that said nothing
-	sickShare         = 8                       // of AckBound: a write out for longer is trouble
+	impairedShare     = 8                       // of AckBound: a write out for longer is trouble
 	stuckShare        = 4                       // of AckBound: an entry or beat not through for longer is trouble
 	rewriteBytes      = 8 << 20                 // a log longer than this is rewritten
 	rewriteFactor     = 4                       // or one longer than this times the snapshot
--- a/internal/chain/voters.go
+++ b/internal/chain/voters.go
@@ -21,19 +21,19 @@
 const (
 	caughtUpEntries = 16
 	caughtUpWithin  = 600 * time.Millisecond
-	marksHeld       = 4
+	checkpointsHeld = 4
 )
 
-// commitMark remembers what was committed at a time.
-type commitMark struct {
+// checkpoint remembers what was committed at a time.
+type checkpoint struct {
 	at       time.Time
 	position uint64
 }
 
-// markCommitted keeps what is committed now for comparisons with learners.
-func (n *Node) markCommitted() {
-	copy(n.marks[1:], n.marks[:marksHeld-1])
-	n.marks[0] = commitMark{at: n.now, position: n.log.committed}
+// takeCheckpoint keeps what is committed now for comparisons with learners.
+func (n *Node) takeCheckpoint() {
+	copy(n.checkpoints[1:], n.checkpoints[:checkpointsHeld-1])
+	n.checkpoints[0] = checkpoint{at: n.now, position: n.log.committed}
 }
 
 // isCaughtUp tells whether a learner at a position may become a voter.
@@ -41,9 +41,9 @@
 	if position+caughtUpEntries >= n.log.committed {
 		return true
 	}
-	for _, mark := range n.marks {
-		if !mark.at.IsZero() && n.now.Sub(mark.at) >= caughtUpWithin {
-			return position >= mark.position
+	for _, checkpoint := range n.checkpoints {
+		if !checkpoint.at.IsZero() && n.now.Sub(checkpoint.at) >= caughtUpWithin {
+			return position >= checkpoint.position
 		}
 	}
 	return false
@@ -51,7 +51,7 @@
 
 // tickLearner makes a process that has no vote known: to the seeds while it knows no view, then to the head.
 func (n *Node) tickLearner() {
-	if n.isVoter() || n.sick() || n.now.Sub(n.feed.helloAt) < helloInterval {
+	if n.isVoter() || n.impaired() || n.now.Sub(n.feed.helloAt) < helloInterval {
 		return
 	}
 	n.feed.helloAt = n.now
@@ -103,7 +103,7 @@
 }
 
 func (n *Node) mayChangeVoters() bool {
-	if !n.isHead() || !n.serving() || n.sick() || n.attempt != nil {
+	if !n.isHead() || !n.serving() || n.impaired() || n.attempt != nil {
 		return false
 	}
 	if n.activeSince.IsZero() || n.now.Sub(n.activeSince) < activeSteady || !n.Fresh(n.now) {
--- a/internal/mutation/listed.go
+++ b/internal/mutation/listed.go
@@ -116,7 +116,7 @@
 		{"replacement: two voters in one view", "internal/chain/propose.go",
 			"\tif n.mistakes.twoReplacements {", "\tif true {", chainTests},
 		{"replacement: a learner never counts as caught up under many changes", voters,
-			"return position >= mark.position", "return false", chainTests},
+			"return position >= checkpoint.position", "return false", chainTests},
 	}
 }
 
--- a/internal/proxy/door.go
+++ b/internal/proxy/acceptor.go
@@ -18,12 +18,12 @@
 	queueFor  = 20 * time.Millisecond
 	queueMost = 500 * time.Millisecond // however many come
 
-	roomWait  = 100 * time.Millisecond // between two looks for a connection to close, at the cap
-	doorRetry = 50 * time.Millisecond  // after a failure to accept
+	roomWait    = 100 * time.Millisecond // between two looks for a connection to close, at the cap
+	acceptRetry = 50 * time.Millisecond  // after a failure to accept
 )
 
-// door takes the connections of clients and knows each of them.
-type door struct {
+// acceptor takes the connections of clients and knows each of them.
+type acceptor struct {
 	listener net.Listener
 	most     int
 
@@ -35,12 +35,12 @@
 	stopsBy time.Time // accepting ends then at the latest; zero: it does not
 }
 
-func newDoor(most int) *door {
-	return &door{most: most, clients: map[*client]struct{}{}, left: make(chan struct{})}
+func newAcceptor(most int) *acceptor {
+	return &acceptor{most: most, clients: map[*client]struct{}{}, left: make(chan struct{})}
 }
 
 // open sets the listener that clients come through. False: it is over already.
-func (d *door) open(listener net.Listener) bool {
+func (d *acceptor) open(listener net.Listener) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.listener = listener
@@ -48,7 +48,7 @@
 }
 
 // accept returns the next connection, once there is room for it.
-func (d *door) accept() (*client, error) {
+func (d *acceptor) accept() (*client, error) {
 	for {
 		conn, err := d.listener.Accept()
 		switch {
@@ -64,13 +64,13 @@
 		case errors.Is(err, net.ErrClosed):
 			return nil, err
 		default: // out of descriptors, or the peer left already
-			time.Sleep(doorRetry)
+			time.Sleep(acceptRetry)
 		}
 	}
 }
 
 // makeRoom waits until there is room for the connection that has come, and has the one that has rested longest make it.
-func (d *door) makeRoom() {
+func (d *acceptor) makeRoom() {
 	for {
 		d.mu.Lock()
 		full, left, stopping := len(d.clients) >= d.most, d.left, !d.stopsBy.IsZero()
@@ -97,7 +97,7 @@
 }
 
 // longestIdle finds the connection that has rested longest. The caller holds the lock.
-func (d *door) longestIdle() *client {
+func (d *acceptor) longestIdle() *client {
 	var longest *client
 	var since time.Time
 	now := time.Now()
@@ -110,7 +110,7 @@
 	return longest
 }
 
-func (d *door) admit(conn net.Conn) *client {
+func (d *acceptor) admit(conn net.Conn) *client {
 	c := &client{Conn: conn, raw: rawOf(conn), state: http.StateNew, since: time.Now()}
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -119,7 +119,7 @@
 }
 
 // note is the server's hook: it follows what the connections do.
-func (d *door) note(conn net.Conn, state http.ConnState) {
+func (d *acceptor) note(conn net.Conn, state http.ConnState) {
 	c, ok := conn.(*client)
 	if !ok {
 		return
@@ -138,7 +138,7 @@
 }
 
 // stop has the listener close once nobody has come to it for a while.
-func (d *door) stop() {
+func (d *acceptor) stop() {
 	d.mu.Lock()
 	d.stopsBy = time.Now().Add(queueMost)
 	listener := d.listener
@@ -148,14 +148,14 @@
 	}
 }
 
-func (d *door) stopping() bool {
+func (d *acceptor) stopping() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return !d.stopsBy.IsZero()
 }
 
 // quiet has a listener that is to close wait anew: an Accept ends by its deadline. False: it cannot wait.
-func (d *door) quiet() bool {
+func (d *acceptor) quiet() bool {
 	d.mu.Lock()
 	by, listener := d.stopsBy, d.listener
 	d.mu.Unlock()
@@ -171,7 +171,7 @@
 }
 
 // finish hangs up on all who ask nothing, and waits until every request has its answer or ctx ends. False: some have none.
-func (d *door) finish(ctx context.Context) bool {
+func (d *acceptor) finish(ctx context.Context) bool {
 	for {
 		owed, left := d.hangUpIdle()
 		if !owed {
@@ -190,7 +190,7 @@
 }
 
 // hangUpIdle hangs up on connections that rest, and tells whether any connection is left.
-func (d *door) hangUpIdle() (owed bool, left <-chan struct{}) {
+func (d *acceptor) hangUpIdle() (owed bool, left <-chan struct{}) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
@@ -204,7 +204,7 @@
 }
 
 // close closes the listener and every connection.
-func (d *door) close() {
+func (d *acceptor) close() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.ended = true
@@ -216,7 +216,7 @@
 	}
 }
 
-func (d *door) count() (clients int, shed uint64) {
+func (d *acceptor) count() (clients int, shed uint64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return len(d.clients), d.shed
--- a/internal/proxy/answer.go
+++ b/internal/proxy/answer.go
@@ -16,20 +16,20 @@
 }
 
 // reject answers that a request isn't proper.
-func (f *flight) reject(status int, text string) ending {
+func (f *exchange) reject(status int, text string) ending {
 	f.server.counters.badRequest.Add(1)
 	return f.answerError(status, text)
 }
 
 // refuse promises that the request did not run and never will, and tells when to come back.
-func (f *flight) refuse(after time.Duration, text string) ending {
+func (f *exchange) refuse(after time.Duration, text string) ending {
 	f.server.counters.refused.Add(1)
 	f.w.Header()[headerRetryAfter] = []string{seconds(max(after, retryAfterLeast))}
 	return f.answerError(http.StatusServiceUnavailable, text)
 }
 
 // answerError answers with a status of our own.
-func (f *flight) answerError(status int, text string) ending {
+func (f *exchange) answerError(status int, text string) ending {
 	body := append(strconv.AppendQuote([]byte(`{"error":`), text), '}')
 	header := f.w.Header()
 	header[headerContentType] = []string{contentTypeJSON}
@@ -40,7 +40,7 @@
 }
 
 // write answers with a whole body.
-func (f *flight) write(status int, body []byte) ending {
+func (f *exchange) write(status int, body []byte) ending {
 	f.announceEnd()
 	if status != http.StatusNoContent && status != http.StatusNotModified && f.r.Method != http.MethodHead {
 		f.w.Header()[headerContentLength] = []string{strconv.Itoa(len(body))}
@@ -56,7 +56,7 @@
 }
 
 // passHeld passes an endpoint's whole answer on.
-func (f *flight) passHeld(held *heldAnswer) ending {
+func (f *exchange) passHeld(held *heldAnswer) ending {
 	f.copyHead(held.header)
 	if length := held.header[headerContentLength]; f.r.Method == http.MethodHead && len(length) > 0 {
 		f.w.Header()[headerContentLength] = length
@@ -65,7 +65,7 @@
 }
 
 // copyHead passes an endpoint's headers on, and keeps the library from adding its own.
-func (f *flight) copyHead(from http.Header) {
+func (f *exchange) copyHead(from http.Header) {
 	header := f.w.Header()
 	passed(header, from)
 	for _, name := range [...]string{headerDate, headerContentType} {
@@ -76,10 +76,10 @@
 }
 
 // announceEnd tells the client, while the relay stops, that the connection ends with this answer.
-func (f *flight) announceEnd() {
+func (f *exchange) announceEnd() {
 	if f.server.draining.Load() {
 		f.closeAfter()
 	}
 }
 
-func (f *flight) closeAfter() { f.w.Header()[headerConnection] = []string{"close"} }
+func (f *exchange) closeAfter() { f.w.Header()[headerConnection] = []string{"close"} }
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -33,7 +33,7 @@
 }}
 
 // attempt sends the request to the endpoint that was chosen.
-func (f *flight) attempt(decision selector.Decision) ending {
+func (f *exchange) attempt(decision selector.Decision) ending {
 	f.server.counters.attempts.Add(1)
 	now := f.server.options.Now()
 	f.dress(&decision.Instance, now)
@@ -54,7 +54,7 @@
 }
 
 // dress sets the headers that belong to this attempt.
-func (f *flight) dress(instance *registry.Instance, now time.Time) {
+func (f *exchange) dress(instance *registry.Instance, now time.Time) {
 	header := f.outgoing.Header
 	header[headerDeadline] = []string{milliseconds(f.request.Deadline.Sub(now))}
 	header[headerExpectInstance] = []string{instance.ID}
@@ -69,7 +69,7 @@
 	}
 }
 
-func (f *flight) targetOf(instance *registry.Instance, now time.Time) upstream.Target {
+func (f *exchange) targetOf(instance *registry.Instance, now time.Time) upstream.Target {
 	most := dialFar
 	if f.server.options.Local(instance) {
 		most = dialLocal
@@ -92,7 +92,7 @@
 }
 
 // sendFailed tells the selector how a send failed.
-func (f *flight) sendFailed(attempt *selector.Attempt, err error) ending {
+func (f *exchange) sendFailed(attempt *selector.Attempt, err error) ending {
 	outcome := selector.Outcome{Kind: selector.Reset, MayHaveRun: true}
 	var failure *upstream.Error
 	if errors.As(err, &failure) {
@@ -120,7 +120,7 @@
 }
 
 // finish ends an attempt that brought no answer for the client.
-func (f *flight) finish(attempt *selector.Attempt, outcome selector.Outcome) ending {
+func (f *exchange) finish(attempt *selector.Attempt, outcome selector.Outcome) ending {
 	f.mayHaveRun = f.mayHaveRun || outcome.MayHaveRun
 	f.server.chooser.done(attempt, outcome)
 	if outcome.Kind == selector.ClientGone {
@@ -130,7 +130,7 @@
 }
 
 // judge looks at the head of an answer to this request.
-func (f *flight) judge(attempt *selector.Attempt, response *upstream.Response) ending {
+func (f *exchange) judge(attempt *selector.Attempt, response *upstream.Response) ending {
 	status := response.Status
 	_, declined := response.Header[headerNotExecuted]
 	stamp := response.Header.Get(headerStamp)
@@ -155,14 +155,14 @@
 }
 
 // declined goes on after an answer that proves that the request did not run.
-func (f *flight) declined(attempt *selector.Attempt, response *upstream.Response, kind selector.OutcomeKind) ending {
+func (f *exchange) declined(attempt *selector.Attempt, response *upstream.Response, kind selector.OutcomeKind) ending {
 	f.readWhole(response) // so that the connection can be kept
 	return f.finish(attempt, selector.Outcome{Kind: kind, ToldWait: parseSeconds(response.Header.Get(headerRetryAfter))})
 }
 
 // declinedOtherwise deals with an endpoint that finds fault with the request: that is the client's to know. Any other way of
 // declining is as good as full.
-func (f *flight) declinedOtherwise(attempt *selector.Attempt, response *upstream.Response) ending {
+func (f *exchange) declinedOtherwise(attempt *selector.Attempt, response *upstream.Response) ending {
 	clients := response.Status >= http.StatusBadRequest && response.Status < http.StatusInternalServerError &&
 		response.Status != http.StatusRequestTimeout
 	if !clients || f.stream.headSent {
@@ -178,7 +178,7 @@
 }
 
 // failed deals with a failure of the endpoint's own, after which the request counts as run.
-func (f *flight) failed(attempt *selector.Attempt, response *upstream.Response) ending {
+func (f *exchange) failed(attempt *selector.Attempt, response *upstream.Response) ending {
 	held, failure := f.hold(response)
 	if failure != nil {
 		return f.sendFailed(attempt, failure)
@@ -215,7 +215,7 @@
 }
 
 // succeed passes a success on.
-func (f *flight) succeed(attempt *selector.Attempt, response *upstream.Response) ending {
+func (f *exchange) succeed(attempt *selector.Attempt, response *upstream.Response) ending {
 	response.GiveUpAt(f.answerBy)
 	streams := strings.HasPrefix(response.Header.Get(headerContentType), eventStream)
 	switch {
@@ -231,7 +231,7 @@
 }
 
 // passSmall reads an answer whole before a byte of it goes out, so that one that is cut can be asked for elsewhere.
-func (f *flight) passSmall(attempt *selector.Attempt, response *upstream.Response) ending {
+func (f *exchange) passSmall(attempt *selector.Attempt, response *upstream.Response) ending {
 	f.server.chooser.firstByte(attempt)
 	body, err := f.readWhole(response)
 	if err != nil {
@@ -248,7 +248,7 @@
 }
 
 // hold reads a whole answer.
-func (f *flight) hold(response *upstream.Response) (*heldAnswer, error) {
+func (f *exchange) hold(response *upstream.Response) (*heldAnswer, error) {
 	body, err := f.readWhole(response)
 	if err != nil {
 		return nil, err
@@ -260,7 +260,7 @@
 }
 
 // readWhole reads a body up to the bound for whole ones.
-func (f *flight) readWhole(response *upstream.Response) ([]byte, error) {
+func (f *exchange) readWhole(response *upstream.Response) ([]byte, error) {
 	response.GiveUpAt(f.answerBy)
 	if response.Length > wholeBytes {
 		return nil, nil
@@ -287,7 +287,7 @@
 }
 
 // passLarge passes an answer on as it comes. One that is cut off ends visibly. The bytes in read come first.
-func (f *flight) passLarge(attempt *selector.Attempt, response *upstream.Response, read []byte) ending {
+func (f *exchange) passLarge(attempt *selector.Attempt, response *upstream.Response, read []byte) ending {
 	f.mayHaveRun = true
 	f.copyHead(response.Header)
 	f.announceEnd()
@@ -320,6 +320,6 @@
 }
 
 // clientLost ends an attempt whose client takes no more.
-func (f *flight) clientLost(attempt *selector.Attempt) ending {
+func (f *exchange) clientLost(attempt *selector.Attempt) ending {
 	return f.finish(attempt, selector.Outcome{Kind: selector.ClientGone, MayHaveRun: true})
 }
--- a/internal/proxy/drain.go
+++ b/internal/proxy/drain.go
@@ -34,10 +34,10 @@
 
 	s.options.Log.Info("stopping", "grace", s.options.Grace)
 	pause(ctx, min(acceptFor, end/acceptShare))
-	s.door.stop()
-	whole := s.door.finish(ctx)
+	s.acceptor.stop()
+	whole := s.acceptor.finish(ctx)
 	if !whole {
-		clients, _ := s.door.count()
+		clients, _ := s.acceptor.count()
 		s.options.Log.Warn("stopped with connections open", "connections", clients)
 	}
 	s.Close()
--- a/internal/proxy/drain_test.go
+++ b/internal/proxy/drain_test.go
@@ -80,10 +80,10 @@
 
 // begun counts the connections on which a part of a request was read.
 func (b *bed) begun() int {
-	b.server.door.mu.Lock()
-	defer b.server.door.mu.Unlock()
+	b.server.acceptor.mu.Lock()
+	defer b.server.acceptor.mu.Unlock()
 	count := 0
-	for c := range b.server.door.clients {
+	for c := range b.server.acceptor.clients {
 		c.mu.Lock()
 		if c.begun {
 			count++
@@ -126,7 +126,7 @@
 	response, err := http.ReadResponse(v.reader, nil)
 	assert.NilError(t, err)
 	over := b.drain()
-	b.until(b.server.door.stopping)
+	b.until(b.server.acceptor.stopping)
 	close(goOn)
 	body, err := io.ReadAll(response.Body)
 	assert.NilError(t, err)
--- a/internal/proxy/flight.go
+++ b/internal/proxy/exchange.go
@@ -42,8 +42,8 @@
 	goOn                        // no answer yet: the next attempt
 )
 
-// flight is one request of a client on its way through the relay.
-type flight struct {
+// exchange is one request of a client on its way through the relay.
+type exchange struct {
 	server  *Server
 	w       http.ResponseWriter
 	r       *http.Request
@@ -64,17 +64,17 @@
 }
 
 // Wake has a request that waits ask again.
-func (f *flight) Wake() {
+func (f *exchange) Wake() {
 	select {
 	case f.woken <- struct{}{}:
 	default:
 	}
 }
 
-func (f *flight) release() { f.body.release() }
+func (f *exchange) release() { f.body.release() }
 
 // serve does the whole work.
-func (f *flight) serve() ending {
+func (f *exchange) serve() ending {
 	if end := f.admit(); end != goOn {
 		return end
 	}
@@ -87,7 +87,7 @@
 }
 
 // admit finds the route, the time and the body, or answers.
-func (f *flight) admit() ending {
+func (f *exchange) admit() ending {
 	var ok bool
 	if f.target, ok = parseTarget(f.r); !ok {
 		return f.reject(http.StatusBadRequest, "the request names no path")
@@ -105,7 +105,7 @@
 }
 
 // setTimes works out until when the request may be worked on.
-func (f *flight) setTimes() {
+func (f *exchange) setTimes() {
 	deadline := f.arrived.Add(f.route.Timeout())
 	if wanted, ok := deadlineOf(f.r.Header, f.arrived); ok && wanted.Before(deadline) {
 		deadline = wanted
@@ -120,7 +120,7 @@
 	control.SetWriteDeadline(deadline.Add(writeSlack)) // a client that reads nothing holds nobody up for ever
 }
 
-func (f *flight) takeBody() ending {
+func (f *exchange) takeBody() ending {
 	most := f.compiled.Document().Limits.MaxBodyBytes
 	if most <= 0 {
 		most = defaultBodyBytes
@@ -157,7 +157,7 @@
 }
 
 // prepare fills in what the selector and the endpoint are told.
-func (f *flight) prepare() {
+func (f *exchange) prepare() {
 	header := f.r.Header
 	id := header.Get(headerRequestID)
 	parts, tokensIn, tokensOut := selector.ParsePrompt(header.Get(headerPrefixHash), header.Get(headerTokenUsage))
@@ -180,7 +180,7 @@
 }
 
 // step asks the selector what to do next, and does it.
-func (f *flight) step() ending {
+func (f *exchange) step() ending {
 	if f.r.Context().Err() != nil {
 		return f.clientGone()
 	}
@@ -198,7 +198,7 @@
 }
 
 // wait sleeps until the selector wants to be asked again.
-func (f *flight) wait(until time.Time) ending {
+func (f *exchange) wait(until time.Time) ending {
 	if until.After(f.answerBy) {
 		until = f.answerBy
 	}
@@ -218,7 +218,7 @@
 }
 
 // giveUp ends a request that can't be served: with what an endpoint said, or with a status that says whether it may have run.
-func (f *flight) giveUp(decision selector.Decision) ending {
+func (f *exchange) giveUp(decision selector.Decision) ending {
 	f.server.chooser.abandon(&f.request)
 	if f.stream.headSent {
 		f.server.events.warn("stream broken off", string(decision.Reason))
@@ -239,16 +239,16 @@
 	return f.answerError(http.StatusBadGateway, "the endpoint did not answer as it should")
 }
 
-func (f *flight) clientGone() ending {
+func (f *exchange) clientGone() ending {
 	f.server.counters.gone.Add(1)
 	return brokenOff
 }
 
 // breakOff ends an answer that has begun, so that the client sees that it isn't whole.
-func (f *flight) breakOff() ending {
+func (f *exchange) breakOff() ending {
 	f.server.counters.aborted.Add(1)
 	return brokenOff
 }
 
 // context is the client's: it ends when the client goes away.
-func (f *flight) context() context.Context { return f.r.Context() }
+func (f *exchange) context() context.Context { return f.r.Context() }
--- a/internal/proxy/forward_test.go
+++ b/internal/proxy/forward_test.go
@@ -274,7 +274,7 @@
 		r := &http.Request{Header: http.Header{headerDeadline: {header}}}
 		compiled := documentFor(config.KindUnsafe, nil)
 		route, _ := compiled.Route("h.example", "/")
-		f := flight{server: &Server{}, r: r, w: discard{}, arrived: arrived, route: route}
+		f := exchange{server: &Server{}, r: r, w: discard{}, arrived: arrived, route: route}
 		f.setTimes()
 		assert.Equal(t, f.request.Deadline.Sub(arrived), wanted, header)
 		assert.Assert(t, f.answerBy.Before(f.request.Deadline))
--- a/internal/proxy/lane.go
+++ b/internal/proxy/limited.go
@@ -10,15 +10,15 @@
 	"wallflow/internal/config"
 )
 
-// laneLimits are the limits that a lane's connections have.
-type laneLimits struct {
+// serverLimits are the limits that a server's connections have.
+type serverLimits struct {
 	headerBytes   int
 	headerTimeout time.Duration
 	idleTimeout   time.Duration
 }
 
-func laneLimitsOf(limits config.Limits) laneLimits {
-	wanted := laneLimits{
+func serverLimitsOf(limits config.Limits) serverLimits {
+	wanted := serverLimits{
 		headerBytes:   limits.MaxHeaderBytes,
 		headerTimeout: fromMilliseconds(limits.HeaderTimeoutMs),
 		idleTimeout:   fromMilliseconds(limits.IdleTimeoutMs),
@@ -39,25 +39,25 @@
 	return time.Duration(value * float64(time.Millisecond))
 }
 
-// lane is the library's server with the limits of one configuration. The library reads limits at any time, so they can't be
-// changed in place: when they change, new connections go to a new lane.
-type lane struct {
-	limits laneLimits
+// limitedServer is the library's server with the limits of one configuration. The library reads limits at any time, so they can't be
+// changed in place: when they change, new connections go to a new server.
+type limitedServer struct {
+	limits serverLimits
 	server *http.Server
 	conns  chan net.Conn
 	closed chan struct{}
 	once   sync.Once
 }
 
-func newLane(limits laneLimits, s *Server) *lane {
-	l := &lane{limits: limits, conns: make(chan net.Conn), closed: make(chan struct{})}
+func newLimitedServer(limits serverLimits, s *Server) *limitedServer {
+	l := &limitedServer{limits: limits, conns: make(chan net.Conn), closed: make(chan struct{})}
 	l.server = &http.Server{
 		Handler:                      s,
 		ReadHeaderTimeout:            limits.headerTimeout,
 		IdleTimeout:                  limits.idleTimeout,
 		MaxHeaderBytes:               limits.headerBytes,
 		DisableGeneralOptionsHandler: true, // any path is the clients'
-		ConnState:                    s.door.note,
+		ConnState:                    s.acceptor.note,
 		ConnContext:                  withClient,
 		ErrorLog:                     slog.NewLogLogger(slog.DiscardHandler, slog.LevelDebug), // clients' errors, without bound
 	}
@@ -65,8 +65,8 @@
 	return l
 }
 
-// serve hands a connection to the lane. False: the lane takes no more.
-func (l *lane) serve(conn net.Conn) bool {
+// serve hands a connection to the server. False: the server takes no more.
+func (l *limitedServer) serve(conn net.Conn) bool {
 	select {
 	case l.conns <- conn:
 		return true
@@ -75,8 +75,8 @@
 	}
 }
 
-// Accept hands the lane's next connection to the library.
-func (l *lane) Accept() (net.Conn, error) {
+// Accept hands the server's next connection to the library.
+func (l *limitedServer) Accept() (net.Conn, error) {
 	select {
 	case conn := <-l.conns:
 		return conn, nil
@@ -86,10 +86,10 @@
 }
 
 // Close ends Accept.
-func (l *lane) Close() error {
+func (l *limitedServer) Close() error {
 	l.once.Do(func() { close(l.closed) })
 	return nil
 }
 
 // Addr is the library's.
-func (l *lane) Addr() net.Addr { return &net.TCPAddr{} }
+func (l *limitedServer) Addr() net.Addr { return &net.TCPAddr{} }
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -79,12 +79,12 @@
 	options  Options
 	chooser  guarded
 	bodies   memoryBudget
-	door     *door
+	acceptor *acceptor
 	counters counters
 	events   eventLog
 
-	mu   sync.Mutex
-	lane *lane // new connections go here
+	mu      sync.Mutex
+	limited *limitedServer // new connections go here
 
 	draining atomic.Bool
 	lastCall chan struct{}             // closed when what still waits is to be refused
@@ -98,7 +98,7 @@
 		options:  options,
 		chooser:  guarded{lock: options.Lock, chooser: options.Chooser, now: options.Now},
 		bodies:   memoryBudget{most: options.BodyMemory},
-		door:     newDoor(options.MaxClients),
+		acceptor: newAcceptor(options.MaxClients),
 		events:   eventLog{log: options.Log},
 		lastCall: make(chan struct{}),
 	}
@@ -116,14 +116,14 @@
 
 // Serve takes the connections of clients until Drain or Close ends it. It may be called once.
 func (s *Server) Serve(listener net.Listener) error {
-	if !s.door.open(listener) {
+	if !s.acceptor.open(listener) {
 		return trace.Wrap(listener.Close())
 	}
 	stop := make(chan struct{})
 	defer close(stop)
 	go s.sweep(stop)
 	for {
-		conn, err := s.door.accept()
+		conn, err := s.acceptor.accept()
 		if errors.Is(err, net.ErrClosed) {
 			return nil
 		}
@@ -134,15 +134,15 @@
 	}
 }
 
-// handOver gives a connection to the lane of the limits in force.
+// handOver gives a connection to the server of the limits in force.
 func (s *Server) handOver(conn net.Conn) {
-	for lane := s.currentLane(); !lane.serve(conn); {
-		next := s.currentLane()
-		if next == lane { // everything ends
+	for limited := s.currentLimited(); !limited.serve(conn); {
+		next := s.currentLimited()
+		if next == limited { // everything ends
 			conn.Close()
 			return
 		}
-		lane = next
+		limited = next
 	}
 }
 
@@ -164,33 +164,33 @@
 func (s *Server) ApplyLimits(limits config.Limits) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	wanted := laneLimitsOf(limits)
-	if s.lane != nil && s.lane.limits == wanted {
+	wanted := serverLimitsOf(limits)
+	if s.limited != nil && s.limited.limits == wanted {
 		return
 	}
-	if s.lane != nil {
-		s.lane.Close() // its connections go on
+	if s.limited != nil {
+		s.limited.Close() // its connections go on
 	}
-	s.lane = newLane(wanted, s)
+	s.limited = newLimitedServer(wanted, s)
 }
 
-func (s *Server) currentLane() *lane {
+func (s *Server) currentLimited() *limitedServer {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.lane
+	return s.limited
 }
 
 // Close ends everything at once. Requests that have no answer get none.
 func (s *Server) Close() {
-	s.door.close()
-	s.currentLane().Close()
+	s.acceptor.close()
+	s.currentLimited().Close()
 	s.options.Pool.Close()
 }
 
 // ServeHTTP serves one request of a client.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.counters.requests.Add(1)
-	f := flight{server: s, w: w, r: r, arrived: s.options.Now()}
+	f := exchange{server: s, w: w, r: r, arrived: s.options.Now()}
 	defer f.release()
 	if f.serve() == brokenOff {
 		panic(http.ErrAbortHandler) // the library closes the connection, and the client sees that the answer is cut
--- a/internal/proxy/stats.go
+++ b/internal/proxy/stats.go
@@ -45,6 +45,6 @@
 		Resumed: c.resumed.Load(), NoStamp: c.noStamp.Load(), OutOfOrder: c.outOfOrder.Load(),
 		BodyBytes: s.bodies.used.Load(), Upstream: s.options.Pool.Stats(),
 	}
-	stats.Clients, stats.Shed = s.door.count()
+	stats.Clients, stats.Shed = s.acceptor.count()
 	return stats
 }
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -74,17 +74,17 @@
 }
 
 // relayStream passes a stream on event by event. Only whole events go out, so that another endpoint can go on after any of them.
-func (f *flight) relayStream(attempt *selector.Attempt, response *upstream.Response) ending {
+func (f *exchange) relayStream(attempt *selector.Attempt, response *upstream.Response) ending {
 	buffer := eventBuffers.Get().(*[]byte)
 	defer eventBuffers.Put(buffer)
-	pipe := streamPipe{flight: f, attempt: attempt, response: response, data: (*buffer)[:0], continues: f.stream.headSent}
+	pipe := streamPipe{exchange: f, attempt: attempt, response: response, data: (*buffer)[:0], continues: f.stream.headSent}
 	response.GiveUpAt(earlier(f.outgoing.GiveUpAt, f.answerBy)) // until the first event; see started
 	err := pipe.run()
 	return f.streamEnded(attempt, err)
 }
 
 // streamEnded goes by how an attempt's part of a stream ended.
-func (f *flight) streamEnded(attempt *selector.Attempt, err error) ending {
+func (f *exchange) streamEnded(attempt *selector.Attempt, err error) ending {
 	var failure *upstream.Error
 	switch {
 	case err == nil:
@@ -113,7 +113,7 @@
 
 // streamPipe is one endpoint's part of a stream.
 type streamPipe struct {
-	flight    *flight
+	exchange  *exchange
 	attempt   *selector.Attempt
 	response  *upstream.Response
 	data      []byte // read, and not passed on yet
@@ -178,7 +178,7 @@
 // check looks whether an event may go out.
 func (p *streamPipe) check(data []byte) error {
 	first := p.continues && !p.begun
-	if err := p.flight.stream.take(parseEvent(data), first); err != nil {
+	if err := p.exchange.stream.take(parseEvent(data), first); err != nil {
 		return err
 	}
 	if !p.begun {
@@ -189,7 +189,7 @@
 
 // started notes the first event of this part. From here on silence is no ground to end it before the deadline.
 func (p *streamPipe) started() {
-	f := p.flight
+	f := p.exchange
 	p.begun = true
 	p.response.GiveUpAt(f.request.Deadline)
 	f.server.chooser.firstByte(p.attempt)
@@ -203,7 +203,7 @@
 
 // sendHead sends the head of the answer, which stays that of the first endpoint.
 func (p *streamPipe) sendHead() {
-	f := p.flight
+	f := p.exchange
 	f.stream.headSent = true
 	f.failure = nil // too late for it
 	if f.stream.version == "" {
@@ -219,10 +219,10 @@
 	if len(events) == 0 {
 		return nil
 	}
-	if _, err := p.flight.w.Write(events); err != nil {
+	if _, err := p.exchange.w.Write(events); err != nil {
 		return errClientWrite
 	}
-	if err := http.NewResponseController(p.flight.w).Flush(); err != nil {
+	if err := http.NewResponseController(p.exchange.w).Flush(); err != nil {
 		return errClientWrite
 	}
 	return nil
@@ -230,7 +230,7 @@
 
 // end ends a stream that the endpoint ended whole. What stands behind the last event is the endpoint's, too.
 func (p *streamPipe) end() error {
-	if !p.flight.stream.headSent {
+	if !p.exchange.stream.headSent {
 		p.sendHead()
 	}
 	if len(p.data) > 0 {
--- a/internal/swim/doc.go
+++ b/internal/swim/doc.go
@@ -5,7 +5,7 @@
 //
 // Members probe each other with small datagrams, as SWIM does: a ping that is not acknowledged is tried again through
 // three helpers, then the member is suspected, and a suspect that does not refute in time is declared dead. A member
-// refutes by raising its incarnation. Rumors ride on the probes and on a few datagrams of their own.
+// refutes by raising its incarnation. Updates ride on the probes and on a few datagrams of their own.
 //
 // SWIM picks the target of a probe by chance. Here the members form a ring, sorted by region, zone and a hash of the name,
 // and each is probed by the three that follow it in every period. The cost for one member does not grow with the fleet, the
--- a/internal/swim/exchange.go
+++ b/internal/swim/exchange.go
@@ -157,7 +157,7 @@
 
 // trim cuts states off so that they fit into a datagram.
 func trim(states []*swimpb.State) []*swimpb.State {
-	room := rumorBytes
+	room := updateBytes
 	for index, state := range states {
 		room -= proto.Size(state) + stateOverhead
 		if room < 0 && index > 0 {
--- a/internal/swim/merge.go
+++ b/internal/swim/merge.go
@@ -15,7 +15,7 @@
 	case told.Status == Suspect && known.Status == Suspect && told.Incarnation == known.Incarnation:
 		n.confirm(known, told.accuser)
 	case !supersedes(told.Incarnation, told.Status, known.Member):
-		n.rumors.heardAgain(told)
+		n.updates.heardAgain(told)
 	case told.Status == Alive:
 		n.renew(now, known, told)
 	case told.Status == Suspect:
--- a/internal/swim/node.go
+++ b/internal/swim/node.go
@@ -23,15 +23,15 @@
 	lastTick time.Time
 	health   int // 0 is well; waits grow with it
 
-	sequence uint32
-	probes   []*probe
-	errands  []*errand
-	urgent   []check
-	suspects []*peer // those that were suspect after the last Tick, and newer ones
+	sequence      uint32
+	probes        []*probe
+	relayedProbes []*relayedProbe
+	urgent        []check
+	suspects      []*peer // those that were suspect after the last Tick, and newer ones
 
-	rumors       rumorQueue
+	updates      updateQueue
 	nextGossip   time.Time
-	spreadWanted bool // rumors are to be sent at the end of this call
+	spreadWanted bool // updates are to be sent at the end of this call
 	inExchange   bool // the states of a full exchange are being taken in
 
 	joined         bool
@@ -54,7 +54,7 @@
 		started:      now,
 		lastTick:     now,
 		sequence:     options.Random.Uint32(),
-		rumors:       newRumorQueue(),
+		updates:      newUpdateQueue(),
 		nextJoin:     now,
 		nextSeed:     options.Random.IntN(1 << 16),
 		nextCompare:  now.Add(times.compareEarly),
@@ -87,7 +87,7 @@
 	}
 	n.join(now)
 	n.settleProbes(now)
-	n.settleErrands(now)
+	n.settleRelayedProbes(now)
 	n.settleSuspicions(now)
 	n.startProbes(now)
 	n.compare(now)
@@ -107,7 +107,7 @@
 	n.lastTick = now
 	n.health = min(n.health+1, maxHealth)
 	n.probes = n.probes[:0]
-	n.errands = n.errands[:0]
+	n.relayedProbes = n.relayedProbes[:0]
 	for _, suspect := range n.suspects {
 		if suspect.suspicion != nil {
 			suspect.suspicion.started = suspect.suspicion.started.Add(gap)
@@ -183,7 +183,7 @@
 	n.spreadWanted = true
 }
 
-// Leave tells the others that this process goes. It probes nobody from then on, but passes rumors on.
+// Leave tells the others that this process goes. It probes nobody from then on, but passes updates on.
 func (n *Node) Leave(now time.Time) Output {
 	n.now = now
 	if n.self.Status == Left {
@@ -191,7 +191,7 @@
 	}
 	n.self.Status = Left
 	n.table.withdraw(n.self)
-	n.probes, n.errands, n.urgent = nil, nil, nil
+	n.probes, n.relayedProbes, n.urgent = nil, nil, nil
 	n.announceSelf()
 	n.spread(now)
 	n.changed(n.self)
--- a/internal/swim/options.go
+++ b/internal/swim/options.go
@@ -25,14 +25,14 @@
 	watchers = 3
 	// helpers is how many members are asked to probe a silent target.
 	helpers = 3
-	// fanout is how many members get a datagram of rumors at a time.
+	// fanout is how many members get a datagram of updates at a time.
 	fanout = 3
 	// maxHealth bounds the local health score; waits for answers grow with it.
 	maxHealth = 3
 	// confirmations is how many further accusers shorten a suspicion to its least.
 	confirmations = watchers - 1
-	// rumorFactor times the binary logarithm of the fleet is how often a member passes a rumor on.
-	rumorFactor = 2
+	// updateFactor times the binary logarithm of the fleet is how often a member passes an update on.
+	updateFactor = 2
 	// urgentPerTick bounds the probes out of turn that one Tick starts.
 	urgentPerTick = 4
 	// maxUrgent bounds the probes out of turn that wait.
@@ -54,8 +54,8 @@
 	// directWait and helperWait are how long answers may take beyond the round trip.
 	directWait = 150 * time.Millisecond
 	helperWait = 250 * time.Millisecond
-	// errandWait is the same for a helper, short enough that its word reaches the asker before that gives up.
-	errandWait = 100 * time.Millisecond
+	// relayedProbeWait is the same for a helper, short enough that its word reaches the asker before that gives up.
+	relayedProbeWait = 100 * time.Millisecond
 	// remoteRoundTrip is assumed for another region until it has been measured.
 	remoteRoundTrip = 150 * time.Millisecond
 	// answerSyncPause is the least time between exchanges that something unexpected started.
@@ -103,7 +103,7 @@
 	return least, least * 7 / 4
 }
 
-// rumorLimit is how often a member passes one rumor on in a fleet of the given size.
-func rumorLimit(members int) int {
-	return rumorFactor * int(math.Ceil(math.Log2(float64(members+1))))
+// updateLimit is how often a member passes one update on in a fleet of the given size.
+func updateLimit(members int) int {
+	return updateFactor * int(math.Ceil(math.Log2(float64(members+1))))
 }
--- a/internal/swim/probe.go
+++ b/internal/swim/probe.go
@@ -194,12 +194,12 @@
 	return known
 }
 
-// onAck closes the probe or the errand that an answer belongs to.
+// onAck closes the probe, own or relayed, that an answer belongs to.
 func (n *Node) onAck(now time.Time, from string, message *swimpb.Message) {
 	if message.GetAnswerWanted() {
 		n.introduce(now, from)
 	}
-	if n.finishErrand(from, message) {
+	if n.finishRelayedProbe(from, message) {
 		return
 	}
 	index := slices.IndexFunc(n.probes, func(open *probe) bool { return open.sequence == message.GetSequence() })
--- a/internal/swim/errand.go
+++ b/internal/swim/relayed.go
@@ -7,11 +7,11 @@
 	"wallflow/internal/swim/swimpb"
 )
 
-// maxErrands bounds the pings under way for others.
-const maxErrands = 256
+// maxRelayedProbes bounds the pings under way for others.
+const maxRelayedProbes = 256
 
-// errand is a ping for another member.
-type errand struct {
+// relayedProbe is a ping for another member.
+type relayedProbe struct {
 	sequence  uint32 // of the own ping
 	asker     string
 	askedWith uint32 // sequence of the request
@@ -24,15 +24,15 @@
 
 // onPingRequest pings a target for another member.
 func (n *Node) onPingRequest(now time.Time, from string, message *swimpb.Message) {
-	if message.GetTargetAddress() == "" || len(n.errands) >= maxErrands || n.self.Status == Left {
+	if message.GetTargetAddress() == "" || len(n.relayedProbes) >= maxRelayedProbes || n.self.Status == Left {
 		return
 	}
 	n.sequence++
-	wait := errandWait
+	wait := relayedProbeWait
 	if known := n.table.byAddress[message.GetTargetAddress()]; known != nil {
 		wait += n.roundTrip(known)
 	}
-	n.errands = append(n.errands, &errand{
+	n.relayedProbes = append(n.relayedProbes, &relayedProbe{
 		sequence:  n.sequence,
 		asker:     from,
 		askedWith: message.GetSequence(),
@@ -48,19 +48,19 @@
 	})
 }
 
-// finishErrand passes an answer on to the member that asked for it. It returns false when no errand waits for it.
-func (n *Node) finishErrand(from string, message *swimpb.Message) bool {
-	index := slices.IndexFunc(n.errands, func(open *errand) bool {
+// finishRelayedProbe passes an answer on to the member that asked for it. It returns false when no relayed probe waits for it.
+func (n *Node) finishRelayedProbe(from string, message *swimpb.Message) bool {
+	index := slices.IndexFunc(n.relayedProbes, func(open *relayedProbe) bool {
 		return open.sequence == message.GetSequence() && open.target == from
 	})
 	if index < 0 {
 		return false
 	}
-	open := n.errands[index]
+	open := n.relayedProbes[index]
 	if open.hash != message.GetSender() {
 		return true // another process has the address now
 	}
-	n.errands = slices.Delete(n.errands, index, index+1)
+	n.relayedProbes = slices.Delete(n.relayedProbes, index, index+1)
 	n.datagram(open.asker, &swimpb.Message{
 		Type:     swimpb.Type_TYPE_ACK,
 		Sequence: open.askedWith,
@@ -69,9 +69,9 @@
 	return true
 }
 
-// settleErrands tells those that asked when a target does not answer.
-func (n *Node) settleErrands(now time.Time) {
-	n.errands = slices.DeleteFunc(n.errands, func(open *errand) bool {
+// settleRelayedProbes tells those that asked when a target does not answer.
+func (n *Node) settleRelayedProbes(now time.Time) {
+	n.relayedProbes = slices.DeleteFunc(n.relayedProbes, func(open *relayedProbe) bool {
 		if !open.nacked && !now.Before(open.nackAt) {
 			open.nacked = true
 			n.datagram(open.asker, &swimpb.Message{
--- a/internal/swim/rumors_test.go
+++ b/internal/swim/updates_test.go
@@ -24,40 +24,40 @@
 }
 
 func TestRumorsToldLeastGoFirst(t *testing.T) {
-	queue := newRumorQueue()
+	queue := newUpdateQueue()
 	queue.add(rumorAbout("a", 1), 0)
-	assert.Equal(t, namesOf(queue.pick(rumorBytes, 8)), "a")
+	assert.Equal(t, namesOf(queue.pick(updateBytes, 8)), "a")
 	queue.add(rumorAbout("b", 1), 0)
-	assert.Equal(t, namesOf(queue.pick(rumorBytes, 8)), "b a")
+	assert.Equal(t, namesOf(queue.pick(updateBytes, 8)), "b a")
 	queue.add(rumorAbout("c", 1), 0)
 	one := proto.Size(rumorAbout("c", 1)) + stateOverhead
 	assert.Equal(t, namesOf(queue.pick(one, 8)), "c")
 }
 
 func TestRumorIsReplaced(t *testing.T) {
-	queue := newRumorQueue()
+	queue := newUpdateQueue()
 	queue.add(rumorAbout("a", 1), 0)
 	queue.add(rumorAbout("a", 2), 0)
-	picked := queue.pick(rumorBytes, 8)
+	picked := queue.pick(updateBytes, 8)
 	assert.Equal(t, len(picked), 1)
 	assert.Equal(t, picked[0].Incarnation, uint64(2))
 }
 
 func TestRumorHeardAgainIsToldLess(t *testing.T) {
-	queue := newRumorQueue()
+	queue := newUpdateQueue()
 	queue.add(rumorAbout("a", 1), 0)
 	same := report{Member: Member{Name: "a", Incarnation: 1}}
 	older := report{Member: Member{Name: "a"}}
 	queue.heardAgain(older)
 	queue.heardAgain(same)
-	assert.Equal(t, len(queue.pick(rumorBytes, 2)), 1)
-	assert.Equal(t, len(queue.pick(rumorBytes, 2)), 0)
+	assert.Equal(t, len(queue.pick(updateBytes, 2)), 1)
+	assert.Equal(t, len(queue.pick(updateBytes, 2)), 0)
 	assert.Assert(t, queue.empty())
 }
 
 func TestRumorsStayWithinTheirBounds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		queue := newRumorQueue()
+		queue := newUpdateQueue()
 		limit := rapid.IntRange(1, 6).Draw(t, "limit")
 		told := map[string]int{}
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
@@ -67,7 +67,7 @@
 				told[name] = 0
 				continue
 			}
-			room := rapid.IntRange(0, rumorBytes).Draw(t, "room")
+			room := rapid.IntRange(0, updateBytes).Draw(t, "room")
 			size := 0
 			for _, state := range queue.pick(room, limit) {
 				size += proto.Size(state) + stateOverhead
