More changes a second in the test of a learner that never quite catches up

Cause: since followers ask the tail all the while, the test no longer found the planted mistake that it was made for. 1,000 changes a second over ways of 100 ms do.

--- a/internal/chain/failure_test.go
+++ b/internal/chain/failure_test.go
@@ -313,8 +313,8 @@
 		_, rest := (&walk{simulation: s}).chainAndRest()
 		victim := rest[0]
 		former := victim.node.Identity()
-		s.trouble.minimumDelay = 50 * time.Millisecond
-		s.manyChanges(2 * time.Millisecond)
+		s.trouble.minimumDelay = 100 * time.Millisecond
+		s.manyChanges(time.Millisecond)
 		s.run(200 * time.Millisecond)
 		victim.kill(true)
 		victim.wipe()
