--- a/internal/chain/repair_test.go
+++ b/internal/chain/repair_test.go
@@ -45,13 +45,7 @@
 	for seed := range int64(12) {
 		s := settled(t, seed, 3)
 		away := s.processes[seed%3]
-		away.kill(false)
-		s.until(4*time.Second, func() bool { return s.newestView().Place(away.node.Identity()) < 0 && s.active() })
-		for number := range 3 * keptEntries {
-			s.anyUp().submit(fmt.Sprintf("c%d", number), func(Answer) {})
-			s.run(5 * time.Millisecond)
-		}
-		s.run(time.Second)
+		s.leaveBehind(away)
 		for try := range 20 {
 			away.start(false)
 			s.run(time.Duration(s.random.Int63n(int64(400 * time.Millisecond))))
--- a/internal/chain/rewrite_test.go
+++ b/internal/chain/rewrite_test.go
@@ -48,18 +48,24 @@
 	}
 }
 
+// leaveBehind ends a process and makes more changes than are kept for one that lags.
+func (s *simulation) leaveBehind(away *process) {
+	s.t.Helper()
+	away.kill(false)
+	s.until(4*time.Second, func() bool { return s.newestView().Place(away.node.Identity()) < 0 && s.active() })
+	for number := range 3 * keptEntries {
+		s.anyUp().submit(fmt.Sprintf("c%d", number), func(Answer) {})
+		s.run(10 * time.Millisecond)
+	}
+	s.run(time.Second)
+}
+
 // A process that was away for long gets a snapshot, and follows from there.
 func TestReturnsAfterLong(t *testing.T) {
 	for seed := range int64(5) {
 		s := settled(t, seed, 3)
 		away := s.processes[seed%3]
-		away.kill(false)
-		s.until(4*time.Second, func() bool { return s.newestView().Place(away.node.Identity()) < 0 && s.active() })
-		for number := range 3 * keptEntries {
-			s.anyUp().submit(fmt.Sprintf("c%d", number), func(Answer) {})
-			s.run(10 * time.Millisecond)
-		}
-		s.run(time.Second)
+		s.leaveBehind(away)
 		away.start(false)
 		s.until(3*time.Second, s.committedEverywhere)
 		snapshots := uint64(0)
