--- a/internal/daydraw/kinds.go
+++ b/internal/daydraw/kinds.go
@@ -97,6 +97,8 @@
 		{name: "shift", fields: []field{share(0.3, 0.6), lasts(3, 8)}, weight: 1},
 		{name: "scale_in", hows: []string{"", "spot"}, fields: []field{share(0.1, 0.2), strong(1.5, 2.5)}, place: placeService, weight: 1},
 		{name: "give_up", fields: []field{share(0.2, 0.6), lasts(3, 8)}, weight: 1},
+		{name: "add_nodes", on: "core", weight: 1},
+		{name: "add_nodes", weight: 1, zones: manyZones},
 		{name: "bridge_cut", fields: []field{lasts(3, 9)}, place: placeBetweenZones, weight: 2, zones: manyZones},
 		{name: "srv_lying_health", hows: []string{"errors", "hang", "reset", "bad"}, fields: []field{share(0.05, 0.2), lasts(3, 8)}, weight: 1, zones: manyZones},
 		{name: "srv_flap", fields: []field{share(0.05, 0.15), pauses(1, 2), lasts(3, 8)}, weight: 1, zones: manyZones},
--- a/internal/daydraw/vary.go
+++ b/internal/daydraw/vary.go
@@ -7,21 +7,27 @@
 )
 
 // Vary returns the text of a site file for another deployment of the same kind: 3 to 9 core machines, other speeds of disk and network.
-// What is to be borne at once stays, since it hangs on the number of zones. Equal seeds give equal sites.
+// Two machines are to be borne at once where half of the core machines of each zone, rounded up, are enough. Equal seeds give equal sites.
 func Vary(text []byte, seed uint64) ([]byte, error) {
 	site := make(map[string]any)
 	if err := toml.Unmarshal(text, &site); err != nil {
 		return nil, &SiteError{Reason: err.Error()}
 	}
 	random := rand.New(rand.NewPCG(seed, 1))
-	varyCore(site, random)
+	if varyCore(site, random) >= enoughForTwo && random.IntN(2) == 0 {
+		setIn(site, "tolerate", "machines", int64(2))
+	}
 	scaleIn(site, random, "net", "cross_region_ms", 0.3, 2)
 	scaleIn(site, random, "net", "cross_zone_ms", 0.5, 2)
 	return toml.Marshal(site)
 }
 
-// varyCore spreads another number of core machines over the zones that have any.
-func varyCore(site map[string]any, random *rand.Rand) {
+// enoughForTwo is how many control processes bear the loss of two.
+const enoughForTwo = 5
+
+// varyCore spreads another number of core machines over the zones that have any. It returns how many run a control process if half of
+// each zone's do, rounded up.
+func varyCore(site map[string]any, random *rand.Rand) int {
 	const least, most = 3, 9
 	wanted := least + random.IntN(most-least+1)
 	var groups []map[string]any
@@ -31,9 +37,7 @@
 			groups = append(groups, group)
 		}
 	}
-	if len(groups) == 0 {
-		return
-	}
+	processes := 0
 	syncs := []float64{0.5, 2, 5, 12}
 	syncMs := syncs[random.IntN(len(syncs))]
 	for index, group := range groups {
@@ -41,11 +45,20 @@
 		if index < wanted%len(groups) {
 			count++
 		}
-		group["count"] = int64(max(1, count))
+		count = max(1, count)
+		processes += (count + 1) / 2
+		group["count"] = int64(count)
 		if disk, ok := group["disk"].(map[string]any); ok {
 			disk["sync_ms"] = syncMs
 		}
 	}
+	return processes
+}
+
+func setIn(site map[string]any, table, key string, value any) {
+	if inside, ok := site[table].(map[string]any); ok {
+		inside[key] = value
+	}
 }
 
 func scaleIn(site map[string]any, random *rand.Rand, table, key string, from, to float64) {
