--- a/internal/testkit/simdisk/simdisk.go
+++ b/internal/testkit/simdisk/simdisk.go
@@ -8,7 +8,6 @@
 	"io/fs"
 	"math/rand"
 	"os"
-	"path/filepath"
 	"slices"
 
 	"wallflow/internal/logfile"
@@ -262,13 +261,6 @@
 // Empty tells whether there is no file at all.
 func (d *Disk) Empty() bool { return len(d.names) == 0 }
 
-// Damage changes a byte of a file that was synced, as failing hardware may.
-func (d *Disk) Damage(folder, name string, at int) {
-	found := d.names[filepath.Join(folder, name)]
-	found.content[at] ^= 0xFF
-	found.lasting = slices.Clone(found.content)
-}
-
 // handle is an open file.
 type handle struct {
 	disk       *Disk
