Hold the reader only once the first answer has been read, in a test of kept connections

The test held the connection's reader as soon as the host had counted the request; where the answer had not been read by then, the hold kept it from the call for 10 s, and no connection was kept. Confirmed by delaying the host's answer by 50 ms: the same panic at the same line, at once. Change: the hold is set after the first call has returned; a connection that is not kept is told as such. What is checked of the second call is the same.

--- a/internal/relay/crossings_test.go
+++ b/internal/relay/crossings_test.go
@@ -96,19 +96,21 @@
 			h := testHosts(t, testConfig())
 			held := make(chan *heldReader, 2)
 			heldDial(h, held)
-			release := make(chan struct{})
-			go func() { // the first answer is read, and nothing after it
+			firstHeld := make(chan *heldReader, 1)
+			go func() {
 				c := <-held
 				c.letGo()
-				eventually(t, "a request", func() bool { return requests.Load() == 1 })
-				c.hold()
-				release <- struct{}{}
+				firstHeld <- c
 				(<-held).letGo() // the second connection
 			}()
 			if r := h.do(t.Context(), newCall(addr, "a"), yes); r[0].outcome != policy.OK {
 				t.Fatalf("first call: %v", r[0].outcome)
 			}
-			<-release
+			if len(h.idle[addr]) != 1 {
+				t.Fatalf("%d connections kept after the first call", len(h.idle[addr]))
+			}
+			// Only now, since the first answer has been read whole: a hold set any sooner could keep that answer from the call.
+			(<-firstHeld).hold()
 			first := h.idle[addr][0].ClientConn
 			eventually(t, "the reader is at its next read", func() bool {
 				line := h.lines[first]
