--- a/cmd/wallflow/orders_test.go
+++ b/cmd/wallflow/orders_test.go
@@ -208,7 +208,7 @@
 	for want, spoil := range map[string]func(*operator.Status){
 		"core-1 is out of touch":             func(s *operator.Status) { s.Fresh = false },
 		"can't write to its disk":            func(s *operator.Status) { s.Failed = true },
-		"a disk that does not keep up":       func(s *operator.Status) { s.Sick = true },
+		"a disk that does not keep up":       func(s *operator.Status) { s.Impaired = true },
 		"the chain has 1 members":            func(s *operator.Status) { s.View.Chain = s.View.Chain[:1] },
 		"no configuration has been taken":    func(s *operator.Status) { s.Generation = 0 },
 		"voter core-3 is gone":               func(s *operator.Status) { s.View.Voters = append(s.View.Voters, "core-3") },
--- a/cmd/wallflow/status.go
+++ b/cmd/wallflow/status.go
@@ -118,7 +118,7 @@
 			s.wrong("%s is out of touch with the chain", status.Node)
 		case status.Failed:
 			s.wrong("%s can't write to its disk", status.Node)
-		case status.Sick:
+		case status.Impaired:
 			s.wrong("%s has a disk that does not keep up", status.Node)
 		}
 	}
--- a/internal/chain/acceptor.go
+++ b/internal/chain/acceptor.go
@@ -73,8 +73,8 @@
 	}
 	promise.Installed = n.installed
 	promise.Position = n.log.lastPosition()
-	promise.Unheard = n.unheard()
-	promise.Sick = n.impaired()
+	promise.SilentNeighbours = n.silentNeighbours()
+	promise.Impaired = n.impaired()
 	if !n.acceptor.accepted.zero() {
 		promise.Accepted = ballotToWire(n.acceptor.accepted)
 		promise.View = viewToWire(n.acceptor.view)
@@ -148,16 +148,16 @@
 	return quiet || slices.ContainsFunc(n.view.Chain, n.isDead)
 }
 
-// unheard names the neighbours in the chain that have been silent.
-func (n *Node) unheard() []string {
+// silentNeighbours names the neighbours in the chain that have been silent.
+func (n *Node) silentNeighbours() []string {
 	if !n.inChain() || n.now.Sub(n.viewSince) < freshFor {
 		return nil
 	}
 	var silent []string
-	if !n.isHead() && n.now.Sub(n.beatHeardAt) >= freshFor {
+	if !n.isHead() && n.now.Sub(n.predecessorHeardAt) >= freshFor {
 		silent = append(silent, string(n.predecessor()))
 	}
-	if !n.isTail() && n.now.Sub(n.ackHeardAt) >= freshFor {
+	if !n.isTail() && n.now.Sub(n.successorHeardAt) >= freshFor {
 		silent = append(silent, string(n.successor()))
 	}
 	return silent
--- a/internal/chain/barrier.go
+++ b/internal/chain/barrier.go
@@ -53,7 +53,7 @@
 		n.answerOrigin(barrier.Origin, replyFromWire(barrier.Reply), barrier.Read, n.log.committed)
 		return true
 	}
-	if !n.successorJoined || barrier.Position > n.passed {
+	if !n.successorSynced || barrier.Position > n.passed {
 		return false
 	}
 	n.send(n.successor(), &chainpb.Message{Body: &chainpb.Message_Barrier{Barrier: barrier}})
--- a/internal/chain/catchup_test.go
+++ b/internal/chain/catchup_test.go
@@ -132,7 +132,7 @@
 	_, there := tail.node.Committed()
 	_, here := p.node.Committed()
 	missing := time.Duration(there-min(here, there)) * c.gap
-	if missing > freshFor+beatInterval+200*time.Millisecond {
+	if missing > freshFor+heartbeatInterval+200*time.Millisecond {
 		s.fail("%s calls itself up to date and lacks the changes of %v", p.self.Name, missing)
 	}
 }
--- a/internal/chain/clients.go
+++ b/internal/chain/clients.go
@@ -107,7 +107,7 @@
 		case pending.read && n.now.Sub(pending.sentAt) >= readRetry:
 			pending.answered = false
 			n.sendRequest(pending)
-			n.want(n.view.Tail())
+			n.fetch(n.view.Tail())
 		}
 	}
 	for key, at := range n.clients.taken {
@@ -184,7 +184,7 @@
 		pending.answered, pending.position = true, answer.Position
 		n.answerReads()
 		if n.log.committed < answer.Position {
-			n.want(n.view.Tail())
+			n.fetch(n.view.Tail())
 		}
 		return
 	}
--- a/internal/chain/dispatch.go
+++ b/internal/chain/dispatch.go
@@ -13,16 +13,16 @@
 		n.compareEpochs(sender, from, message)
 	}
 	switch body := message.Body.(type) {
-	case *chainpb.Message_Hello:
-		n.receiveHello(sender, from, body.Hello)
+	case *chainpb.Message_JoinRequest:
+		n.receiveJoinRequest(sender, from, body.JoinRequest)
 	case *chainpb.Message_ViewNotice:
 		n.learnView(viewFromWire(body.ViewNotice.View))
 	case *chainpb.Message_Trouble:
 		n.receiveTrouble(sender, body.Trouble)
 	case *chainpb.Message_Feed:
 		n.receiveFeed(sender, message.Epoch, body.Feed)
-	case *chainpb.Message_Want:
-		n.receiveWant(sender, body.Want)
+	case *chainpb.Message_Fetch:
+		n.receiveFetch(sender, body.Fetch)
 	case *chainpb.Message_Submit:
 		n.receiveSubmit(message.Epoch, body.Submit)
 	case *chainpb.Message_Refused:
@@ -63,11 +63,11 @@
 		return
 	}
 	if sender == n.predecessor() {
-		n.beatHeardAt = n.now
+		n.predecessorHeardAt = n.now
 		n.dispatchDown(message)
 	}
 	if sender == n.successor() {
-		n.ackHeardAt = n.now
+		n.successorHeardAt = n.now
 		n.dispatchUp(message)
 	}
 }
@@ -78,8 +78,8 @@
 		n.receiveSync(body.Sync)
 	case *chainpb.Message_Append:
 		n.receiveAppend(body.Append)
-	case *chainpb.Message_Beat:
-		n.receiveBeat(body.Beat)
+	case *chainpb.Message_Heartbeat:
+		n.receiveHeartbeat(body.Heartbeat)
 	case *chainpb.Message_Barrier:
 		n.receiveBarrier(body.Barrier)
 	}
@@ -87,8 +87,8 @@
 
 func (n *Node) dispatchUp(message *chainpb.Message) {
 	switch body := message.Body.(type) {
-	case *chainpb.Message_Join:
-		n.receiveJoin(body.Join)
+	case *chainpb.Message_SyncRequest:
+		n.receiveSyncRequest(body.SyncRequest)
 	case *chainpb.Message_Ack:
 		n.receiveAck(body.Ack)
 	}
@@ -103,7 +103,7 @@
 		}
 	case message.Epoch > n.view.Epoch && message.GetViewNotice() == nil:
 		if n.membership.mayNotify(sender, n.now) {
-			n.sendTo(from, sender, n.hello())
+			n.sendTo(from, sender, n.joinRequest())
 		}
 	}
 }
@@ -112,8 +112,8 @@
 	return &chainpb.Message{Body: &chainpb.Message_ViewNotice{ViewNotice: &chainpb.ViewNotice{View: viewToWire(n.view)}}}
 }
 
-func (n *Node) hello() *chainpb.Message {
-	return &chainpb.Message{Body: &chainpb.Message_Hello{Hello: &chainpb.Hello{
+func (n *Node) joinRequest() *chainpb.Message {
+	return &chainpb.Message{Body: &chainpb.Message_JoinRequest{JoinRequest: &chainpb.JoinRequest{
 		Member:   memberToWire(n.self),
 		Position: n.log.lastPosition(),
 		Founder:  n.founder,
--- a/internal/chain/election.go
+++ b/internal/chain/election.go
@@ -74,11 +74,11 @@
 		return false
 	}
 	if !n.isHead() {
-		return n.now.Sub(n.beatHeardAt) >= patience
+		return n.now.Sub(n.predecessorHeardAt) >= patience
 	}
 	entryStuck := !n.entryWaits.IsZero() && n.now.Sub(n.entryWaits) >= patience
-	beatStuck := !n.beatUnheard.IsZero() && n.now.Sub(n.beatUnheard) >= patience
-	return entryStuck || beatStuck
+	heartbeatStuck := !n.heartbeatUnansweredSince.IsZero() && n.now.Sub(n.heartbeatUnansweredSince) >= patience
+	return entryStuck || heartbeatStuck
 }
 
 // backoff spreads proposers: by their place among those alive, the chain first, and by chance.
--- a/internal/chain/failure_test.go
+++ b/internal/chain/failure_test.go
@@ -278,7 +278,7 @@
 				s.write("more")
 				victim.hanging, victim.disk.SyncError, victim.syncTime = false, nil, simulatedSync
 				s.run(4 * time.Second)
-				assert.Assert(t, !victim.node.Status().Sick)
+				assert.Assert(t, !victim.node.Status().Impaired)
 				s.finish("trouble", "more")
 			}
 		}
--- a/internal/chain/feed.go
+++ b/internal/chain/feed.go
@@ -10,11 +10,11 @@
 
 // feed is the tail's knowledge of the processes outside the chain, and a learner's of the tail.
 type feed struct {
-	followers map[Identity]*follower
-	wantedAt  time.Time
-	helloAt   time.Time
-	token     uint64 // of the newest question to a tail; the first one is drawn, so that those of another life are known
-	questions [questionsHeld]beatTime
+	followers       map[Identity]*follower
+	fetchedAt       time.Time
+	joinRequestedAt time.Time
+	token           uint64 // of the newest question to a tail; the first one is drawn, so that those of another life are known
+	questions       [questionsHeld]numberedTime
 }
 
 // questionsHeld is how many questions to the tail are remembered: those of more than the time for which a confirmation holds.
@@ -107,15 +107,15 @@
 	return n.isTail() && n.serving() && n.durableInstalled == n.view.Epoch
 }
 
-// receiveWant answers a process that is missing entries.
-func (n *Node) receiveWant(sender Identity, want *chainpb.Want) {
+// receiveFetch answers a process that is missing entries.
+func (n *Node) receiveFetch(sender Identity, fetch *chainpb.Fetch) {
 	if !n.mayFeed() || n.view.Place(sender) >= 0 {
 		return
 	}
 	each := n.follow(sender, n.addressOf(sender))
 	each.known = true
-	each.token = want.Token
-	after, possible := n.commonPosition(want.LastEpoch, want.LastPosition, want.Committed)
+	each.token = fetch.Token
+	after, possible := n.commonPosition(fetch.LastEpoch, fetch.LastPosition, fetch.Committed)
 	if possible {
 		each.position = min(after, n.log.committed)
 		n.feedEntries(sender, each, each.position)
@@ -130,15 +130,15 @@
 	})
 }
 
-// want asks the tail for what is missing.
-func (n *Node) want(tail Identity) {
-	if tail == "" || n.inChain() || n.now.Sub(n.feed.wantedAt) < noticeInterval {
+// fetch asks the tail for what is missing.
+func (n *Node) fetch(tail Identity) {
+	if tail == "" || n.inChain() || n.now.Sub(n.feed.fetchedAt) < noticeInterval {
 		return
 	}
-	n.feed.wantedAt = n.now
+	n.feed.fetchedAt = n.now
 	n.feed.token++
-	n.feed.questions[n.feed.token%questionsHeld] = beatTime{number: n.feed.token, at: n.now}
-	n.send(tail, &chainpb.Message{Body: &chainpb.Message_Want{Want: &chainpb.Want{
+	n.feed.questions[n.feed.token%questionsHeld] = numberedTime{number: n.feed.token, at: n.now}
+	n.send(tail, &chainpb.Message{Body: &chainpb.Message_Fetch{Fetch: &chainpb.Fetch{
 		LastEpoch:    n.log.lastEpoch(),
 		LastPosition: n.log.lastPosition(),
 		Committed:    n.log.committed,
@@ -149,8 +149,8 @@
 
 // tickQuestions has a process outside the chain ask the tail from time to time: only an answer proves that its epoch is in force.
 func (n *Node) tickQuestions() {
-	if n.view.Epoch > 0 && n.now.Sub(n.feed.wantedAt) >= beatInterval {
-		n.want(n.view.Tail())
+	if n.view.Epoch > 0 && n.now.Sub(n.feed.fetchedAt) >= heartbeatInterval {
+		n.fetch(n.view.Tail())
 	}
 }
 
@@ -163,7 +163,7 @@
 		return
 	}
 	if !n.matches(message.PreviousEpoch, message.PreviousPosition) {
-		n.want(sender)
+		n.fetch(sender)
 		return
 	}
 	n.followEntries(message.PreviousPosition, message.Entries)
--- a/internal/chain/feed_test.go
+++ b/internal/chain/feed_test.go
@@ -58,7 +58,7 @@
 	asks := &chainpb.Message{
 		From:  string(rest[0].node.Identity()),
 		Epoch: tail.node.View().Epoch,
-		Body:  &chainpb.Message_Want{Want: &chainpb.Want{}},
+		Body:  &chainpb.Message_Fetch{Fetch: &chainpb.Fetch{}},
 	}
 	output := tail.node.Receive(s.now, rest[0].self.Address, asks)
 	assert.Equal(t, len(output.Sends), 1)
@@ -78,11 +78,11 @@
 		s.trouble.cut[[2]int{member.number, follower.number}] = true
 	}
 	members[0].submit("missed", func(Answer) {})
-	s.run(beatInterval)
+	s.run(heartbeatInterval)
 	for _, member := range members {
 		delete(s.trouble.cut, [2]int{member.number, follower.number})
 	}
-	s.run(freshFor + beatInterval)
+	s.run(freshFor + heartbeatInterval)
 	_, there := members[0].node.Committed()
 	_, here := follower.node.Committed()
 	assert.Assert(t, here < there)
@@ -161,7 +161,7 @@
 	s.run(duration)
 }
 
-// A tail that stood still finds beats that waited for it when it goes on. They are of a time long gone, and another view may be in force.
+// A tail that stood still finds heartbeats that waited for it when it goes on. They are of a time long gone, and another view may be in force.
 func TestFrozenTailIsNotFreshByWhatWaited(t *testing.T) {
 	for seed := range int64(12) {
 		s := settled(t, seed, 3)
--- a/internal/chain/install.go
+++ b/internal/chain/install.go
@@ -8,33 +8,33 @@
 
 // replication is a node's work as a member of the chain of its view.
 type replication struct {
-	successorJoined bool   // the successor holds, or is being sent, what was passed
-	passed          uint64 // position up to which entries went to the successor
-	waitingJoin     *chainpb.Join
-	joinSentAt      time.Time
-	barriers        []*chainpb.Barrier
-
-	beat           uint64    // head: number of the newest beat
-	beatSentAt     time.Time // head: when it went out
-	beatUnheard    time.Time // head: when the oldest beat without an acknowledgement went out
-	beatHeardAt    time.Time // others: when the predecessor last sent anything
-	beatPassedAt   time.Time // when a beat last passed here
-	beatsSince     time.Time // when the first beat passed here after a silence
-	ackHeardAt     time.Time // all but the tail: when the successor last sent anything
-	beats          [beatsHeld]beatTime
-	confirmedAt    time.Time // the epoch was in force at this time
-	confirmedEpoch uint64
-	activeSince    time.Time // head: since when the whole chain has installed the epoch
-	entryWaits     time.Time // head: since when entries wait to be committed
-	candidates     map[Identity]*candidate
-	checkpoints    [checkpointsHeld]checkpoint // head: the newest first
-	votersAfter    time.Time                   // head: no change of the voters before
+	successorSynced    bool   // the successor holds, or is being sent, what was passed
+	passed             uint64 // position up to which entries went to the successor
+	waitingSyncRequest *chainpb.SyncRequest
+	syncRequestedAt    time.Time
+	barriers           []*chainpb.Barrier
+
+	heartbeat                uint64    // head: number of the newest heartbeat
+	heartbeatSentAt          time.Time // head: when it went out
+	heartbeatUnansweredSince time.Time // head: when the oldest heartbeat without an acknowledgement went out
+	predecessorHeardAt       time.Time // others: when the predecessor last sent anything
+	heartbeatPassedAt        time.Time // when a heartbeat last passed here
+	heartbeatsSince          time.Time // when the first heartbeat passed here after a silence
+	successorHeardAt         time.Time // all but the tail: when the successor last sent anything
+	heartbeats               [heartbeatsHeld]numberedTime
+	confirmedAt              time.Time // the epoch was in force at this time
+	confirmedEpoch           uint64
+	activeSince              time.Time // head: since when the whole chain has installed the epoch
+	entryWaits               time.Time // head: since when entries wait to be committed
+	candidates               map[Identity]*candidate
+	checkpoints              [checkpointsHeld]checkpoint // head: the newest first
+	votersAfter              time.Time                   // head: no change of the voters before
 }
 
-const beatsHeld = 8
+const heartbeatsHeld = 8
 
-// beatTime remembers when a beat passed.
-type beatTime struct {
+// numberedTime remembers when a numbered heartbeat passed, or a numbered question was sent.
+type numberedTime struct {
 	number uint64
 	at     time.Time
 }
@@ -59,7 +59,7 @@
 	if view.Epoch <= n.view.Epoch {
 		return
 	}
-	if len(view.Chain) < n.leastChain(view) {
+	if len(view.Chain) < n.leastChainLength(view) {
 		n.counters.BrokenChainMinimum++
 	}
 	n.view, n.viewSince = view, n.now
@@ -81,8 +81,8 @@
 
 // startChain begins a member's work in its view, or goes on with it after a restart.
 func (n *Node) startChain() {
-	n.beatHeardAt, n.ackHeardAt = n.now, n.now
-	n.beatUnheard = n.now
+	n.predecessorHeardAt, n.successorHeardAt = n.now, n.now
+	n.heartbeatUnansweredSince = n.now
 	if !n.inChain() || n.promised() || n.installed == n.view.Epoch {
 		return
 	}
@@ -90,7 +90,7 @@
 		n.install(&chainpb.StoredInstalled{Epoch: n.view.Epoch, Keep: n.log.lastPosition()})
 		return
 	}
-	n.join()
+	n.requestSync()
 }
 
 // install makes the log the one of this epoch. What stored keeps has to be in the log already.
@@ -107,44 +107,44 @@
 
 // installDone follows once the installation is on disk.
 func (n *Node) installDone() {
-	if join := n.waitingJoin; join != nil {
-		n.waitingJoin = nil
-		n.answerJoin(join)
+	if request := n.waitingSyncRequest; request != nil {
+		n.waitingSyncRequest = nil
+		n.answerSyncRequest(request)
 	}
 }
 
-// join asks the predecessor for what is missing.
-func (n *Node) join() {
-	n.joinSentAt = n.now
-	n.send(n.predecessor(), &chainpb.Message{Body: &chainpb.Message_Join{Join: &chainpb.Join{
+// requestSync asks the predecessor for what is missing.
+func (n *Node) requestSync() {
+	n.syncRequestedAt = n.now
+	n.send(n.predecessor(), &chainpb.Message{Body: &chainpb.Message_SyncRequest{SyncRequest: &chainpb.SyncRequest{
 		LastEpoch:    n.log.lastEpoch(),
 		LastPosition: n.log.lastPosition(),
 		Committed:    n.log.committed,
 	}}})
 }
 
-// joinAgain asks again, unless it just did.
-func (n *Node) joinAgain() {
-	if n.now.Sub(n.joinSentAt) >= joinRetry/2 {
-		n.join()
+// requestSyncAgain asks again, unless it just did.
+func (n *Node) requestSyncAgain() {
+	if n.now.Sub(n.syncRequestedAt) >= syncRetry/2 {
+		n.requestSync()
 	}
 }
 
-func (n *Node) receiveJoin(join *chainpb.Join) {
+func (n *Node) receiveSyncRequest(request *chainpb.SyncRequest) {
 	if !n.serving() {
 		return
 	}
 	if n.durableInstalled != n.view.Epoch {
-		n.waitingJoin = join
+		n.waitingSyncRequest = request
 		return
 	}
-	n.answerJoin(join)
+	n.answerSyncRequest(request)
 }
 
-// answerJoin sends what the successor is missing of what is on disk here.
-func (n *Node) answerJoin(join *chainpb.Join) {
+// answerSyncRequest sends what the successor is missing of what is on disk here.
+func (n *Node) answerSyncRequest(request *chainpb.SyncRequest) {
 	sync := &chainpb.Sync{}
-	if keep, possible := n.commonPosition(join.LastEpoch, join.LastPosition, join.Committed); possible {
+	if keep, possible := n.commonPosition(request.LastEpoch, request.LastPosition, request.Committed); possible {
 		sync.Keep = keep
 	} else {
 		sync.Snapshot = n.snapshot()
@@ -152,7 +152,7 @@
 		n.counters.Snapshots++
 	}
 	sync.Entries = n.log.between(sync.Keep, n.synced)
-	n.successorJoined = true
+	n.successorSynced = true
 	n.passed = n.synced
 	n.send(n.successor(), &chainpb.Message{Body: &chainpb.Message_Sync{Sync: sync}})
 	n.passBarriers()
@@ -187,7 +187,7 @@
 		}
 		stored.Snapshot = sync.Snapshot
 	} else if sync.Keep > n.log.lastPosition() {
-		n.joinAgain()
+		n.requestSyncAgain()
 		return
 	} else if !n.log.truncate(sync.Keep) {
 		n.brokenCommit("a sync would replace entry %d, which is committed", sync.Keep+1)
--- a/internal/chain/node.go
+++ b/internal/chain/node.go
@@ -189,7 +189,7 @@
 		Position:  n.log.lastPosition(),
 		Committed: n.log.committed,
 		Promised:  n.promised(),
-		Sick:      n.impaired(),
+		Impaired:  n.impaired(),
 		Failed:    n.journal.failed,
 		Counters:  n.counters,
 	}
--- a/internal/chain/propose.go
+++ b/internal/chain/propose.go
@@ -37,8 +37,8 @@
 		return View{}, false
 	}
 	candidates := n.chainCandidates(view, head)
-	length := min(n.wantedChain(view), len(candidates)+1)
-	if length < n.leastChain(view) {
+	length := min(n.desiredChainLength(view), len(candidates)+1)
+	if length < n.leastChainLength(view) {
 		return View{}, false
 	}
 	chosen := chooseMembers(head, candidates, length)
@@ -46,18 +46,18 @@
 	return view, true
 }
 
-// leastChain is the length below which a chain does not work: a majority of the voters.
-func (n *Node) leastChain(view View) int {
+// leastChainLength is the length below which a chain does not work: a majority of the voters.
+func (n *Node) leastChainLength(view View) int {
 	if n.mistakes.chainOfOne {
 		return 1
 	}
 	return view.Majority()
 }
 
-// wantedChain is the length of a chain in calm times: more than may be lost at once. Where the voters are too few for a majority to
+// desiredChainLength is the length of a chain in calm times: more than may be lost at once. Where the voters are too few for a majority to
 // outlast that, a shorter chain goes on after a loss, since one that waits for a lost disk would wait for ever.
-func (n *Node) wantedChain(view View) int {
-	least := n.leastChain(view)
+func (n *Node) desiredChainLength(view View) int {
+	least := n.leastChainLength(view)
 	if n.mistakes.chainOfOne {
 		return least
 	}
@@ -113,7 +113,7 @@
 		if newest != nil {
 			order = cmp.Or(
 				cmp.Compare(promise.Installed, newest.Installed),
-				compareFlags(newest.Sick, promise.Sick),
+				compareFlags(newest.Impaired, promise.Impaired),
 				cmp.Compare(promise.Position, newest.Position),
 			)
 		}
@@ -128,7 +128,7 @@
 type chainCandidate struct {
 	member   Member
 	impaired bool // its disk does not keep up
-	unheard  bool // by a neighbour
+	silent   bool // a neighbour has not heard it lately
 	outside  bool // it is not in the chain now
 	newcomer bool // it did not promise, as it becomes a voter with this view
 	distance int
@@ -147,8 +147,8 @@
 		}
 		candidates = append(candidates, chainCandidate{
 			member:   voter,
-			impaired: promise.GetSick(),
-			unheard:  complaints[voter.Identity],
+			impaired: promise.GetImpaired(),
+			silent:   complaints[voter.Identity],
 			outside:  n.view.Place(voter.Identity) < 0,
 			newcomer: newcomer,
 			distance: distance(head, voter),
@@ -162,7 +162,7 @@
 func (n *Node) complaints(head Member) map[Identity]bool {
 	silent := make(map[Identity]bool)
 	for _, promise := range n.attempt.promises {
-		for _, identity := range promise.Unheard {
+		for _, identity := range promise.SilentNeighbours {
 			silent[Identity(identity)] = true
 		}
 	}
@@ -174,7 +174,7 @@
 	return cmp.Or(
 		compareFlags(a.newcomer, b.newcomer),
 		compareFlags(a.impaired, b.impaired),
-		compareFlags(a.unheard, b.unheard),
+		compareFlags(a.silent, b.silent),
 		compareFlags(a.outside, b.outside),
 		cmp.Compare(a.distance, b.distance),
 		cmp.Compare(a.member.Identity, b.member.Identity),
--- a/internal/chain/propose_test.go
+++ b/internal/chain/propose_test.go
@@ -23,9 +23,9 @@
 }
 
 // A member whose disk does not keep up mostly has the longest log: it took entries that it could not pass on.
-func TestSickMemberIsNotHeadWhereAnotherHoldsAllThatWasAnswered(t *testing.T) {
+func TestImpairedMemberIsNotHeadWhereAnotherHoldsAllThatWasAnswered(t *testing.T) {
 	node, view := proposer(t, map[int]*chainpb.Promise{
-		0: {Installed: 1, Position: 7, Sick: true},
+		0: {Installed: 1, Position: 7, Impaired: true},
 		1: {Installed: 1, Position: 5},
 		2: {Installed: 0, Position: 9},
 	})
@@ -40,7 +40,7 @@
 // One that alone installed the newest epoch may alone hold what was answered.
 func TestSickMemberIsHeadWhereItAloneHoldsAllThatWasAnswered(t *testing.T) {
 	node, view := proposer(t, map[int]*chainpb.Promise{
-		0: {Installed: 2, Position: 7, Sick: true},
+		0: {Installed: 2, Position: 7, Impaired: true},
 		1: {Installed: 1, Position: 7},
 		2: {Installed: 1, Position: 7},
 	})
--- a/internal/chain/recovery.go
+++ b/internal/chain/recovery.go
@@ -22,7 +22,7 @@
 	}
 	n.synced = n.log.lastPosition()
 	n.durableInstalled = n.installed
-	n.successorJoined = true
+	n.successorSynced = true
 	n.passed = n.synced
 	return nil
 }
--- a/internal/chain/replicate.go
+++ b/internal/chain/replicate.go
@@ -44,7 +44,7 @@
 // what is here already is the same.
 func (n *Node) appendEntries(previous uint64, entries []*chainpb.Entry) {
 	if previous > n.log.lastPosition() {
-		n.joinAgain()
+		n.requestSyncAgain()
 		return
 	}
 	first := n.log.lastPosition() - previous
@@ -72,12 +72,12 @@
 }
 
 func (n *Node) passEntries() {
-	if !n.successorJoined || n.passed >= n.synced {
+	if !n.successorSynced || n.passed >= n.synced {
 		return
 	}
 	epoch, held := n.log.epochAt(n.passed)
 	if !held {
-		n.successorJoined = false // it has to ask for a snapshot
+		n.successorSynced = false // it has to ask for a snapshot
 		return
 	}
 	n.send(n.successor(), &chainpb.Message{Body: &chainpb.Message_Append{Append: &chainpb.Append{
@@ -110,15 +110,15 @@
 	}
 }
 
-// acknowledge tells the predecessor what is committed, and which beat came to the tail.
-func (n *Node) acknowledge(beat uint64) {
+// acknowledge tells the predecessor what is committed, and which heartbeat came to the tail.
+func (n *Node) acknowledge(heartbeat uint64) {
 	if n.isHead() {
-		n.headAcknowledged(beat)
+		n.headAcknowledged(heartbeat)
 		return
 	}
 	n.send(n.predecessor(), &chainpb.Message{Body: &chainpb.Message_Ack{Ack: &chainpb.Ack{
 		Committed: n.log.committed,
-		Beat:      beat,
+		Heartbeat: heartbeat,
 	}}})
 }
 
@@ -131,8 +131,8 @@
 		return
 	}
 	n.commit(ack.Committed)
-	n.confirm(ack.Beat)
-	n.acknowledge(ack.Beat)
+	n.confirm(ack.Heartbeat)
+	n.acknowledge(ack.Heartbeat)
 }
 
 // commit marks entries as committed. A position below the newest is an old message and changes nothing.
@@ -147,18 +147,18 @@
 }
 
 // headAcknowledged notes at the head that the whole chain is installed, and how far it is.
-func (n *Node) headAcknowledged(beat uint64) {
+func (n *Node) headAcknowledged(heartbeat uint64) {
 	if n.activeSince.IsZero() {
 		n.activeSince = n.now
 	}
 	if n.log.committed == n.log.lastPosition() {
 		n.entryWaits = time.Time{}
 	}
-	if beat == 0 {
+	if heartbeat == 0 {
 		return
 	}
-	n.beatUnheard = time.Time{}
-	if beat < n.beat {
-		n.beatUnheard = n.beatSentAt
+	n.heartbeatUnansweredSince = time.Time{}
+	if heartbeat < n.heartbeat {
+		n.heartbeatUnansweredSince = n.heartbeatSentAt
 	}
 }
--- a/internal/chain/types.go
+++ b/internal/chain/types.go
@@ -113,7 +113,7 @@
 	Position  uint64
 	Committed uint64
 	Promised  bool // promised in the instance of the next epoch
-	Sick      bool // the own disk does not keep up, or failed
+	Impaired  bool // the own disk does not keep up, or failed
 	Failed    bool // the last write failed
 	Counters  Counters
 }
@@ -134,41 +134,41 @@
 
 // The times and bounds of a node. Times are kept to within the interval between calls of Tick.
 const (
-	requestTimeout    = 700 * time.Millisecond  // then the outcome counts as unknown
-	longestTimeout    = 2300 * time.Millisecond // the same for a long command
-	slowLink          = 128                     // bytes a millisecond, at which a long command passes from end to end at least
-	readRetry         = 250 * time.Millisecond  // a read without answer is sent again
-	beatInterval      = 300 * time.Millisecond  // from head to tail, and digests to learners
-	freshFor          = time.Second             // how long a confirmation of the epoch holds
-	beatsSettle       = 200 * time.Millisecond  // after a silence, before beats confirm at the tail
-	quietBeforeVote   = 600 * time.Millisecond  // a voter that heard no confirmation for so long supports a new view
-	joinRetry         = 200 * time.Millisecond  // a member asks its predecessor again
-	startGrace        = 700 * time.Millisecond  // after a start, nobody is held dead yet
-	foundingWait      = 1500 * time.Millisecond // for the last of the seeds, when a majority is there
-	attemptTimeout    = 900 * time.Millisecond  // of a proposal
-	attemptResend     = 250 * time.Millisecond  // of its messages
-	promiseWait       = 120 * time.Millisecond  // for more promises than a majority
-	placeBackoff      = 150 * time.Millisecond  // between proposers, by place
-	randomBackoff     = 100 * time.Millisecond  // and by chance
-	supportPause      = 500 * time.Millisecond  // of the own proposal, when another's is supported
-	undecidedTimeout  = 500 * time.Millisecond  // after which a promiser proposes by itself
-	helloInterval     = 500 * time.Millisecond  // of a process that is not a voter
-	noticeInterval    = 100 * time.Millisecond  // between view notices to one process
-	candidateSteady   = time.Second             // before a learner becomes a voter
-	candidateReturned = 300 * time.Millisecond  // the same for one at the address of a dead voter
-	candidateForget   = 2 * time.Second         // a learner that is silent for so long is none
-	voterDead         = 2 * time.Second         // before another takes the place of a voter
-	activeSteady      = 400 * time.Millisecond  // of an epoch, before its head changes the voters
-	troubleResend     = 500 * time.Millisecond  // of a member whose disk is in trouble
-	troubleForget     = 2 * time.Second         // such news are believed for
-	fitAfter          = time.Second             // a disk works this long before it counts as well
-	rewriteRetry      = time.Second             // after a failed write
-	followerForget    = 3 * time.Second         // learner feed to one that said nothing
-	impairedShare     = 8                       // of AckBound: a write out for longer is trouble
-	stuckShare        = 4                       // of AckBound: an entry or beat not through for longer is trouble
-	rewriteBytes      = 8 << 20                 // a log longer than this is rewritten
-	rewriteFactor     = 4                       // or one longer than this times the snapshot
-	rewriteLeast      = 1 << 20                 // but none shorter than this
-	keptEntries       = 256                     // committed entries held for others that lag
-	keptBytes         = 1 << 20                 // and their size at most
+	requestTimeout      = 700 * time.Millisecond  // then the outcome counts as unknown
+	longestTimeout      = 2300 * time.Millisecond // the same for a long command
+	slowLink            = 128                     // bytes a millisecond, at which a long command passes from end to end at least
+	readRetry           = 250 * time.Millisecond  // a read without answer is sent again
+	heartbeatInterval   = 300 * time.Millisecond  // from head to tail, and digests to learners
+	freshFor            = time.Second             // how long a confirmation of the epoch holds
+	heartbeatsSettle    = 200 * time.Millisecond  // after a silence, before heartbeats confirm at the tail
+	quietBeforeVote     = 600 * time.Millisecond  // a voter that heard no confirmation for so long supports a new view
+	syncRetry           = 200 * time.Millisecond  // a member asks its predecessor again
+	startGrace          = 700 * time.Millisecond  // after a start, nobody is held dead yet
+	foundingWait        = 1500 * time.Millisecond // for the last of the seeds, when a majority is there
+	attemptTimeout      = 900 * time.Millisecond  // of a proposal
+	attemptResend       = 250 * time.Millisecond  // of its messages
+	promiseWait         = 120 * time.Millisecond  // for more promises than a majority
+	placeBackoff        = 150 * time.Millisecond  // between proposers, by place
+	randomBackoff       = 100 * time.Millisecond  // and by chance
+	supportPause        = 500 * time.Millisecond  // of the own proposal, when another's is supported
+	undecidedTimeout    = 500 * time.Millisecond  // after which a promiser proposes by itself
+	joinRequestInterval = 500 * time.Millisecond  // of a process that is not a voter
+	noticeInterval      = 100 * time.Millisecond  // between view notices to one process
+	candidateSteady     = time.Second             // before a learner becomes a voter
+	candidateReturned   = 300 * time.Millisecond  // the same for one at the address of a dead voter
+	candidateForget     = 2 * time.Second         // a learner that is silent for so long is none
+	voterDead           = 2 * time.Second         // before another takes the place of a voter
+	activeSteady        = 400 * time.Millisecond  // of an epoch, before its head changes the voters
+	troubleResend       = 500 * time.Millisecond  // of a member whose disk is in trouble
+	troubleForget       = 2 * time.Second         // such news are believed for
+	fitAfter            = time.Second             // a disk works this long before it counts as well
+	rewriteRetry        = time.Second             // after a failed write
+	followerForget      = 3 * time.Second         // learner feed to one that said nothing
+	impairedShare       = 8                       // of AckBound: a write out for longer is trouble
+	stuckShare          = 4                       // of AckBound: an entry or heartbeat not through for longer is trouble
+	rewriteBytes        = 8 << 20                 // a log longer than this is rewritten
+	rewriteFactor       = 4                       // or one longer than this times the snapshot
+	rewriteLeast        = 1 << 20                 // but none shorter than this
+	keptEntries         = 256                     // committed entries held for others that lag
+	keptBytes           = 1 << 20                 // and their size at most
 )
--- a/internal/chain/voters.go
+++ b/internal/chain/voters.go
@@ -11,7 +11,7 @@
 // candidate is a process that asks to become a voter.
 type candidate struct {
 	member   Member
-	caughtUp bool // as of its newest hello
+	caughtUp bool // as of its newest join request
 	since    time.Time
 	heardAt  time.Time
 }
@@ -51,24 +51,24 @@
 
 // tickLearner makes a process that has no vote known: to the seeds while it knows no view, then to the head.
 func (n *Node) tickLearner() {
-	if n.isVoter() || n.impaired() || n.now.Sub(n.feed.helloAt) < helloInterval {
+	if n.isVoter() || n.impaired() || n.now.Sub(n.feed.joinRequestedAt) < joinRequestInterval {
 		return
 	}
-	n.feed.helloAt = n.now
+	n.feed.joinRequestedAt = n.now
 	if n.view.Epoch > 0 {
-		n.send(n.view.Head(), n.hello())
+		n.send(n.view.Head(), n.joinRequest())
 		return
 	}
 	for _, address := range n.options.Seeds {
 		if address != n.self.Address {
-			n.sendTo(address, "", n.hello())
+			n.sendTo(address, "", n.joinRequest())
 		}
 	}
 }
 
-// receiveHello notes a process that may become a voter. That its epoch is older, or newer, was dealt with before.
-func (n *Node) receiveHello(sender Identity, from string, hello *chainpb.Hello) {
-	member := memberFromWire(hello.Member)
+// receiveJoinRequest notes a process that may become a voter. That its epoch is older, or newer, was dealt with before.
+func (n *Node) receiveJoinRequest(sender Identity, from string, joinRequest *chainpb.JoinRequest) {
+	member := memberFromWire(joinRequest.Member)
 	if member.Identity != sender || !n.isHead() {
 		return
 	}
@@ -84,7 +84,7 @@
 		}
 		n.candidates[sender] = each
 	}
-	each.member, each.caughtUp, each.heardAt = member, n.isCaughtUp(hello.Position), n.now
+	each.member, each.caughtUp, each.heardAt = member, n.isCaughtUp(joinRequest.Position), n.now
 }
 
 // tickVoters lets the head of an active epoch change the voters, by one at a time.
@@ -134,7 +134,7 @@
 
 // mayLengthen tells whether the chain is shorter than wanted, and a voter outside of it can be counted on.
 func (n *Node) mayLengthen() bool {
-	if len(n.view.Chain) >= n.wantedChain(n.view) || n.now.Sub(n.activeSince) < candidateSteady {
+	if len(n.view.Chain) >= n.desiredChainLength(n.view) || n.now.Sub(n.activeSince) < candidateSteady {
 		return false
 	}
 	return slices.ContainsFunc(n.view.Voters, func(voter Member) bool {
--- a/internal/chain/walk_test.go
+++ b/internal/chain/walk_test.go
@@ -289,7 +289,7 @@
 	}
 	epoch := w.newestView().Epoch
 	for _, p := range w.processes {
-		if !p.up || p.node.Status().Sick || !p.node.Fresh(w.now) || p.node.View().Epoch != epoch {
+		if !p.up || p.node.Status().Impaired || !p.node.Fresh(w.now) || p.node.View().Epoch != epoch {
 			return false
 		}
 	}
--- a/internal/control/instances.go
+++ b/internal/control/instances.go
@@ -47,12 +47,12 @@
 		refuseUnread(w, err)
 		return
 	}
-	beat, err := registry.ParseHeartbeat(params.ByName("id"), body)
+	heartbeat, err := registry.ParseHeartbeat(params.ByName("id"), body)
 	if err != nil {
 		httpapi.Refuse(w, http.StatusBadRequest, err.Error())
 		return
 	}
-	p.takeChange(w, func(now time.Time) registry.Change { return p.instances.Heartbeat(now, beat) })
+	p.takeChange(w, func(now time.Time) registry.Change { return p.instances.Heartbeat(now, heartbeat) })
 }
 
 // leave takes DELETE /instances/ID.
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -32,7 +32,7 @@
 		View:      describeView(p.chain.View()),
 		Position:  own.Position,
 		Committed: own.Committed,
-		Sick:      own.Sick,
+		Impaired:  own.Impaired,
 		Failed:    own.Failed,
 		Members:   describeMembers(p.members.Members()),
 		Services:  countServices(now, p.instances.Instances()),
--- a/internal/control/world_actors_test.go
+++ b/internal/control/world_actors_test.go
@@ -194,7 +194,7 @@
 	world      *world
 	id         string
 	zone       string
-	beat       registry.Heartbeat
+	heartbeat  registry.Heartbeat
 	control    *controlMachine // that it calls
 	drainAcked time.Time
 	leaving    bool
@@ -204,7 +204,7 @@
 func (w *world) addEndpoint() {
 	number := len(w.endpoints)
 	e := &endpointMachine{world: w, id: fmt.Sprintf("i-%d", number), zone: w.zones[number%len(w.zones)]}
-	e.beat = registry.Heartbeat{
+	e.heartbeat = registry.Heartbeat{
 		ID: e.id, Backend: "b", Address: fmt.Sprintf("10.9.0.%d:80", number), Zone: e.zone, Slots: 4, State: registry.StateReady,
 	}
 	w.endpoints = append(w.endpoints, e)
@@ -224,9 +224,9 @@
 	}
 	c := e.control
 	if c.up && !c.frozen {
-		e.beat.Seq++
-		beat := e.beat
-		e.send(c, registry.StateDraining, func(now time.Time) registry.Change { return c.process.instances.Heartbeat(now, beat) })
+		e.heartbeat.Seq++
+		heartbeat := e.heartbeat
+		e.send(c, registry.StateDraining, func(now time.Time) registry.Change { return c.process.instances.Heartbeat(now, heartbeat) })
 	}
 	w.after(again, e.call)
 }
@@ -237,7 +237,7 @@
 		return
 	}
 	e.leaving = true
-	e.beat.State = registry.StateDraining
+	e.heartbeat.State = registry.StateDraining
 	e.control = nil
 }
 
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -9,7 +9,7 @@
 	View       View      `json:"view"`
 	Position   uint64    `json:"position"`  // of the last entry of its log
 	Committed  uint64    `json:"committed"` // of the last entry that is committed
-	Sick       bool      `json:"sick"`      // its disk does not keep up
+	Impaired   bool      `json:"impaired"`  // its disk does not keep up
 	Failed     bool      `json:"failed"`    // its last write failed
 	Generation uint64    `json:"generation"`
 	Evacuated  []string  `json:"evacuated"`
--- a/internal/registry/capacity_test.go
+++ b/internal/registry/capacity_test.go
@@ -17,9 +17,9 @@
 
 func targetTable(now time.Time) (*Table, []Heartbeat) {
 	table := NewTable(Options{HeartbeatInterval: targetHeartbeat, Self: "c0", Zone: "z"}, now)
-	beats := make([]Heartbeat, 0, targetInstances)
+	heartbeats := make([]Heartbeat, 0, targetInstances)
 	for index := range targetInstances {
-		beat := Heartbeat{
+		heartbeat := Heartbeat{
 			ID:      fmt.Sprintf("i-%010x", IDHash(fmt.Sprint(index))>>24),
 			Backend: "b",
 			Address: fmt.Sprintf("10.%d.%d.1:8080", index/256, index%256),
@@ -28,16 +28,16 @@
 			Slots:   64,
 			Seq:     1,
 		}
-		table.Heartbeat(now, beat)
-		beats = append(beats, beat)
+		table.Heartbeat(now, heartbeat)
+		heartbeats = append(heartbeats, heartbeat)
 	}
-	return table, beats
+	return table, heartbeats
 }
 
 // BenchmarkSecondOfPeersAtTargetSize is what a control process does in each second with the digests of all others.
 func BenchmarkSecondOfPeersAtTargetSize(b *testing.B) {
 	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
-	table, beats := targetTable(now)
+	table, heartbeats := targetTable(now)
 	perDigest := int(float64(targetInstances) / targetHeartbeat.Seconds() / targetControls / 2)
 	next := 0
 	for seq := uint64(2); b.Loop(); seq++ {
@@ -45,8 +45,8 @@
 		for digest := range 2 * (targetControls - 1) {
 			message := &feedpb.RegistryMessage{Source: fmt.Sprint("c", 1+digest/2), Digest: &feedpb.RegistryDigest{TableHash: table.hash()}}
 			for range perDigest {
-				next = (next + 1) % len(beats)
-				message.Digest.Fingerprints = append(message.Digest.Fingerprints, fingerprintOf(beats[next].ID))
+				next = (next + 1) % len(heartbeats)
+				message.Digest.Fingerprints = append(message.Digest.Fingerprints, fingerprintOf(heartbeats[next].ID))
 				message.Digest.Seqs = append(message.Digest.Seqs, seq)
 				message.Digest.AgesMs = append(message.Digest.AgesMs, 250)
 			}
--- a/internal/registry/heartbeat.go
+++ b/internal/registry/heartbeat.go
@@ -71,7 +71,7 @@
 	if field := missingField(id, raw, known); field != "" {
 		return Heartbeat{}, trace.Wrap(&HeartbeatError{Field: field})
 	}
-	beat := Heartbeat{
+	heartbeat := Heartbeat{
 		ID:         id,
 		Backend:    raw.Backend,
 		Address:    raw.Address,
@@ -84,13 +84,13 @@
 		Phase:      raw.Phase,
 	}
 	for _, model := range raw.Models {
-		beat.Models = append(beat.Models, model.Name)
+		heartbeat.Models = append(heartbeat.Models, model.Name)
 	}
 	if raw.RemainingMs != nil {
-		beat.Notice = true
-		beat.Remaining = milliseconds(*raw.RemainingMs)
+		heartbeat.Notice = true
+		heartbeat.Remaining = milliseconds(*raw.RemainingMs)
 	}
-	return beat, nil
+	return heartbeat, nil
 }
 
 // missingField returns the name of the first field that must be there and isn't, or is wrong.
--- a/internal/registry/heartbeat_test.go
+++ b/internal/registry/heartbeat_test.go
@@ -14,9 +14,9 @@
 	"unheardOf":{"a":[1]}}`
 
 func TestParseHeartbeatReadsEveryField(t *testing.T) {
-	beat, err := ParseHeartbeat("i-1", []byte(wholeBody))
+	heartbeat, err := ParseHeartbeat("i-1", []byte(wholeBody))
 	assert.NilError(t, err)
-	assert.DeepEqual(t, beat, Heartbeat{
+	assert.DeepEqual(t, heartbeat, Heartbeat{
 		ID:         "i-1",
 		Backend:    "quiz",
 		Address:    "10.128.0.9:8080",
@@ -56,15 +56,15 @@
 }
 
 func TestParseHeartbeatBoundsSpans(t *testing.T) {
-	beat, err := ParseHeartbeat("i", []byte(`{"backend":"b","address":"a:1","zone":"z","warmupMs":1e300,"remainingMs":-5}`))
+	heartbeat, err := ParseHeartbeat("i", []byte(`{"backend":"b","address":"a:1","zone":"z","warmupMs":1e300,"remainingMs":-5}`))
 	assert.NilError(t, err)
-	assert.Equal(t, beat.Warmup, longestSpan)
-	assert.Equal(t, beat.Remaining, time.Duration(0))
-	assert.Equal(t, beat.State, StateReady)
+	assert.Equal(t, heartbeat.Warmup, longestSpan)
+	assert.Equal(t, heartbeat.Remaining, time.Duration(0))
+	assert.Equal(t, heartbeat.State, StateReady)
 }
 
 func ExampleParseHeartbeat() {
-	beat, err := ParseHeartbeat("i-7f3a91c2", []byte(`{"backend":"quiz","address":"10.128.0.9:8080","zone":"hall-a","seq":4}`))
-	fmt.Println(beat.Backend, beat.Address, beat.State, beat.Seq, err)
+	heartbeat, err := ParseHeartbeat("i-7f3a91c2", []byte(`{"backend":"quiz","address":"10.128.0.9:8080","zone":"hall-a","seq":4}`))
+	fmt.Println(heartbeat.Backend, heartbeat.Address, heartbeat.State, heartbeat.Seq, err)
 	// Output: quiz 10.128.0.9:8080 ready 4 <nil>
 }
--- a/internal/registry/merge_test.go
+++ b/internal/registry/merge_test.go
@@ -43,7 +43,7 @@
 	one := newTestTable("c1", "hall-a", at(0))
 	one.SetPeers([]Peer{{Name: "c2", Zone: "hall-a"}, {Name: "c3", Zone: "hall-b"}}, []string{"c1", "c2", "c3"})
 	neighbour, distant := newTestTable("c2", "hall-a", at(0)), newTestTable("c3", "hall-b", at(0))
-	change := one.Heartbeat(at(0), beatOf("i", 1).draining())
+	change := one.Heartbeat(at(0), heartbeatOf("i", 1).draining())
 	assert.Assert(t, change.NeedsReplica)
 	replica := one.Replicate(at(0), change)
 	assert.Assert(t, !replica.Safe)
@@ -53,14 +53,14 @@
 	assert.Assert(t, one.Acked(replica.ID))
 	assert.DeepEqual(t, one.TakeSafe(), []uint64{replica.ID})
 	assert.Equal(t, len(one.TakeSafe()), 0)
-	again := one.Heartbeat(at(1200), beatOf("i", 2).draining())
+	again := one.Heartbeat(at(1200), heartbeatOf("i", 2).draining())
 	assert.Assert(t, !again.NeedsReplica)
 	assert.Equal(t, stateOf(t, distant, "i"), StateDraining)
 }
 
 func TestLeaveNeedsItsOwnReplica(t *testing.T) {
 	one, two := pair(at(0))
-	pass(at(0), one, two, one.Replicate(at(0), one.Heartbeat(at(0), beatOf("i", 1).draining())).Message)
+	pass(at(0), one, two, one.Replicate(at(0), one.Heartbeat(at(0), heartbeatOf("i", 1).draining())).Message)
 	change := one.Leave(at(100), "i")
 	assert.Assert(t, change.NeedsReplica)
 	pass(at(100), one, two, one.Replicate(at(100), change).Message)
@@ -72,7 +72,7 @@
 	one := newTestTable("c1", "hall-a", at(0))
 	one.SetPeers([]Peer{{Name: "c2", Zone: "hall-a"}, {Name: "c3", Zone: "hall-b"}}, []string{"c1", "c2", "c3"})
 	neighbour := newTestTable("c2", "hall-a", at(0))
-	replica := one.Replicate(at(0), one.Heartbeat(at(0), beatOf("i", 1).draining()))
+	replica := one.Replicate(at(0), one.Heartbeat(at(0), heartbeatOf("i", 1).draining()))
 	pass(at(10), one, neighbour, replica.Message)
 	assert.Assert(t, !one.Acked(replica.ID))
 	one.SetPeers([]Peer{{Name: "c2", Zone: "hall-a"}}, []string{"c1", "c2", "c3"})
@@ -81,15 +81,15 @@
 
 func TestReplicaOnALostProcessDoesNotCount(t *testing.T) {
 	one, two := pair(at(0))
-	pass(at(0), one, two, one.Replicate(at(0), one.Heartbeat(at(0), beatOf("i", 1).draining())).Message)
+	pass(at(0), one, two, one.Replicate(at(0), one.Heartbeat(at(0), heartbeatOf("i", 1).draining())).Message)
 	one.SetPeers([]Peer{{Name: "c3", Zone: "hall-c"}}, []string{"c1", "c2", "c3"})
-	assert.Assert(t, one.Heartbeat(at(100), beatOf("i", 2).draining()).NeedsReplica)
+	assert.Assert(t, one.Heartbeat(at(100), heartbeatOf("i", 2).draining()).NeedsReplica)
 }
 
 func TestProcessThatIsAloneAcknowledgesOnlyInTouch(t *testing.T) {
 	one := newTestTable("c1", "hall-a", at(0))
 	one.SetPeers(nil, []string{"c1"})
-	change := one.Heartbeat(at(0), beatOf("i", 1).draining())
+	change := one.Heartbeat(at(0), heartbeatOf("i", 1).draining())
 	assert.Assert(t, one.Replicate(at(0), change).Safe)
 	one.SetInTouch(at(100), false)
 	replica := one.Replicate(at(100), change)
@@ -100,7 +100,7 @@
 
 func TestChangeIsSentAgainUntilAcknowledged(t *testing.T) {
 	one, two := pair(at(0))
-	replica := one.Replicate(at(0), one.Heartbeat(at(0), beatOf("i", 1).draining()))
+	replica := one.Replicate(at(0), one.Heartbeat(at(0), heartbeatOf("i", 1).draining()))
 	assert.Equal(t, len(one.Tick(at(200)).Sends), 0)
 	sends := one.Tick(at(300)).Sends
 	assert.Equal(t, len(sends), 1)
@@ -113,7 +113,7 @@
 
 func TestChangeIsGivenUpInTheEnd(t *testing.T) {
 	one, _ := pair(at(0))
-	one.Replicate(at(0), one.Heartbeat(at(0), beatOf("i", 1).draining()))
+	one.Replicate(at(0), one.Heartbeat(at(0), heartbeatOf("i", 1).draining()))
 	tickUntil(one, 0, 3000)
 	assert.Equal(t, len(one.replicas), 0)
 	assert.Equal(t, len(one.TakeSafe()), 0)
@@ -121,11 +121,11 @@
 
 func TestAcknowledgementOfAnEarlierLifeDoesNotCount(t *testing.T) {
 	before, two := pair(at(0))
-	replica := before.Replicate(at(0), before.Heartbeat(at(0), beatOf("i", 1).draining()))
+	replica := before.Replicate(at(0), before.Heartbeat(at(0), heartbeatOf("i", 1).draining()))
 	_, reply := two.Merge(at(10), replica.Message)
 	after := newTestTable("c1", "hall-a", at(20))
 	after.SetPeers([]Peer{{Name: "c2", Zone: "hall-b"}}, []string{"c1", "c2"})
-	mine := after.Replicate(at(20), after.Heartbeat(at(20), beatOf("j", 1).draining()))
+	mine := after.Replicate(at(20), after.Heartbeat(at(20), heartbeatOf("j", 1).draining()))
 	assert.Equal(t, mine.ID, replica.ID)
 	after.Merge(at(30), reply)
 	assert.Assert(t, !after.Acked(mine.ID))
@@ -134,7 +134,7 @@
 func TestDigestKeepsInstancesAliveElsewhere(t *testing.T) {
 	one, two := pair(at(0))
 	for ms := 0; ms <= 6000; ms += 1200 {
-		change := one.Heartbeat(at(ms), beatOf("i", uint64(ms/1200+1)))
+		change := one.Heartbeat(at(ms), heartbeatOf("i", uint64(ms/1200+1)))
 		if change.Changed {
 			pass(at(ms), one, two, one.Replicate(at(ms), change).Message)
 		}
@@ -147,10 +147,10 @@
 
 func TestDigestBringsASilentInstanceBack(t *testing.T) {
 	one, two := pair(at(0))
-	pass(at(0), one, two, one.Replicate(at(0), one.Heartbeat(at(0), beatOf("i", 1))).Message)
+	pass(at(0), one, two, one.Replicate(at(0), one.Heartbeat(at(0), heartbeatOf("i", 1))).Message)
 	tickUntil(two, 0, 4000)
 	assert.Equal(t, stateOf(t, two, "i"), StateSilent)
-	one.Heartbeat(at(4000), beatOf("i", 2))
+	one.Heartbeat(at(4000), heartbeatOf("i", 2))
 	changed := pass(at(4000), one, two, one.Tick(at(4000)).Broadcast)
 	assert.Equal(t, len(changed), 1)
 	assert.Equal(t, stateOf(t, two, "i"), StateReady)
@@ -158,10 +158,10 @@
 
 func TestDigestBringsAnExpiredInstanceBack(t *testing.T) {
 	one, two := pair(at(0))
-	pass(at(0), one, two, one.Replicate(at(0), one.Heartbeat(at(0), beatOf("i", 1))).Message)
+	pass(at(0), one, two, one.Replicate(at(0), one.Heartbeat(at(0), heartbeatOf("i", 1))).Message)
 	tickUntil(two, 0, 13_000)
 	assert.Equal(t, stateOf(t, two, "i"), StateGone)
-	one.Heartbeat(at(13_000), beatOf("i", 2))
+	one.Heartbeat(at(13_000), heartbeatOf("i", 2))
 	changed, _ := two.Merge(at(13_000), one.Tick(at(13_000)).Broadcast)
 	assert.Equal(t, len(changed), 1)
 	assert.Equal(t, stateOf(t, two, "i"), StateReady)
@@ -171,7 +171,7 @@
 
 func TestRepeatedMessageChangesNothing(t *testing.T) {
 	one, two := pair(at(0))
-	message := one.Replicate(at(0), one.Heartbeat(at(0), beatOf("i", 1).draining())).Message
+	message := one.Replicate(at(0), one.Heartbeat(at(0), heartbeatOf("i", 1).draining())).Message
 	changed, _ := two.Merge(at(0), message)
 	assert.Equal(t, len(changed), 1)
 	changed, reply := two.Merge(at(0), message)
@@ -181,7 +181,7 @@
 
 func TestDigestShowsAMissingInstance(t *testing.T) {
 	one, two := pair(at(0))
-	one.Heartbeat(at(0), beatOf("i", 1)) // the message that told of it was lost
+	one.Heartbeat(at(0), heartbeatOf("i", 1)) // the message that told of it was lost
 	changed := pass(at(500), one, two, one.Tick(at(500)).Broadcast)
 	assert.Equal(t, len(changed), 1)
 	assert.Equal(t, stateOf(t, two, "i"), StateReady)
@@ -189,9 +189,9 @@
 
 func TestDifferentTablesFindEachOther(t *testing.T) {
 	one, two := pair(at(0))
-	pass(at(0), one, two, one.Replicate(at(0), one.Heartbeat(at(0), beatOf("i", 1))).Message)
+	pass(at(0), one, two, one.Replicate(at(0), one.Heartbeat(at(0), heartbeatOf("i", 1))).Message)
 	tickBoth(100, 3000, one, two)
-	one.Heartbeat(at(3000), beatOf("i", 2).draining()) // the message that told of it was lost
+	one.Heartbeat(at(3000), heartbeatOf("i", 2).draining()) // the message that told of it was lost
 	tickBoth(3000, 5000, one, two)
 	assert.Equal(t, stateOf(t, two, "i"), StateDraining)
 	assert.Equal(t, one.hash(), two.hash())
@@ -200,7 +200,7 @@
 func TestRestartedProcessLearnsAll(t *testing.T) {
 	one, _ := pair(at(0))
 	for index := range 300 {
-		one.Heartbeat(at(0), beatOf(fmt.Sprint("i", index), 1).on(fmt.Sprint("a:", index)))
+		one.Heartbeat(at(0), heartbeatOf(fmt.Sprint("i", index), 1).on(fmt.Sprint("a:", index)))
 	}
 	restarted := newTestTable("c2", "hall-b", at(1000))
 	assert.Assert(t, !restarted.Complete(at(1100)))
@@ -212,7 +212,7 @@
 func TestLostMessengerGivesInstancesExtraTime(t *testing.T) {
 	one, two := pair(at(0))
 	for ms := 0; ms <= 6000; ms += 1200 {
-		change := one.Heartbeat(at(ms), beatOf("i", uint64(ms/1200+1)))
+		change := one.Heartbeat(at(ms), heartbeatOf("i", uint64(ms/1200+1)))
 		if change.Changed {
 			pass(at(ms), one, two, one.Replicate(at(ms), change).Message)
 		}
@@ -225,7 +225,7 @@
 
 func TestForgottenInstanceIsNotBroughtBack(t *testing.T) {
 	one, two := pair(at(0))
-	one.Heartbeat(at(0), beatOf("i", 1))
+	one.Heartbeat(at(0), heartbeatOf("i", 1))
 	one.SetInTouch(at(0), false) // it doesn't let the instance expire
 	tickUntil(one, 0, 15_000)
 	tickUntil(two, 0, 15_000)
@@ -238,8 +238,8 @@
 
 func TestAddressReuseReachesTheOthers(t *testing.T) {
 	one, two := pair(at(0))
-	pass(at(0), one, two, one.Replicate(at(0), one.Heartbeat(at(0), beatOf("old", 1))).Message)
-	changed, _ := two.Merge(at(2500), one.Replicate(at(2500), one.Heartbeat(at(2500), beatOf("new", 1))).Message)
+	pass(at(0), one, two, one.Replicate(at(0), one.Heartbeat(at(0), heartbeatOf("old", 1))).Message)
+	changed, _ := two.Merge(at(2500), one.Replicate(at(2500), one.Heartbeat(at(2500), heartbeatOf("new", 1))).Message)
 	assert.Equal(t, len(changed), 2)
 	assert.Equal(t, stateOf(t, two, "old"), StateGone)
 	assert.Equal(t, stateOf(t, two, "new"), StateReady)
@@ -267,14 +267,14 @@
 	const instances = 12_000 / 28
 	table := newTestTable("10.128.0.9:7720", "hall-a", at(0))
 	for index := range instances {
-		beat := beatOf(fmt.Sprintf("i-%08x", index*7919), 3000).on(fmt.Sprint("a:", index))
-		table.Heartbeat(at(index*1200/instances), beat)
+		heartbeat := heartbeatOf(fmt.Sprintf("i-%08x", index*7919), 3000).on(fmt.Sprint("a:", index))
+		table.Heartbeat(at(index*1200/instances), heartbeat)
 	}
 	size := proto.Size(table.Tick(at(500)).Broadcast) + proto.Size(table.Tick(at(1000)).Broadcast)
 	assert.Assert(t, size < 2*4000, "first digests hold all that called so far: %d bytes", size)
 	for index := range instances * 500 / 1200 {
-		beat := beatOf(fmt.Sprintf("i-%08x", index*7919), 3001).on(fmt.Sprint("a:", index))
-		table.Heartbeat(at(1000+index), beat)
+		heartbeat := heartbeatOf(fmt.Sprintf("i-%08x", index*7919), 3001).on(fmt.Sprint("a:", index))
+		table.Heartbeat(at(1000+index), heartbeat)
 	}
 	steady := proto.Size(table.Tick(at(1500)).Broadcast)
 	assert.Assert(t, steady < 1500, "%d bytes", steady)
@@ -302,11 +302,11 @@
 func TestMinorityAcknowledgesNoDeparture(t *testing.T) {
 	tables := fiveTables()
 	one := tables["c1"]
-	drain := one.Replicate(at(0), one.Heartbeat(at(0), beatOf("i", 1).draining()))
+	drain := one.Replicate(at(0), one.Heartbeat(at(0), heartbeatOf("i", 1).draining()))
 	pass(at(10), one, tables["c2"], drain.Message)
 	assert.Assert(t, !one.Acked(drain.ID))
-	assert.Assert(t, one.Heartbeat(at(100), beatOf("i", 2).draining()).NeedsReplica)
-	assert.Assert(t, tables["c2"].Heartbeat(at(100), beatOf("i", 3).draining()).NeedsReplica)
+	assert.Assert(t, one.Heartbeat(at(100), heartbeatOf("i", 2).draining()).NeedsReplica)
+	assert.Assert(t, tables["c2"].Heartbeat(at(100), heartbeatOf("i", 3).draining()).NeedsReplica)
 	leave := one.Replicate(at(200), one.Leave(at(200), "i"))
 	pass(at(210), one, tables["c2"], leave.Message)
 	assert.Assert(t, !one.Acked(leave.ID))
@@ -319,11 +319,11 @@
 // What a process held is gone when it starts again: it counts anew once it has heard of it.
 func TestProcessThatStartedAgainHoldsNothing(t *testing.T) {
 	one, two := pair(at(0))
-	drain := one.Replicate(at(0), one.Heartbeat(at(0), beatOf("i", 1).draining()))
+	drain := one.Replicate(at(0), one.Heartbeat(at(0), heartbeatOf("i", 1).draining()))
 	pass(at(10), one, two, drain.Message)
-	assert.Assert(t, !one.Heartbeat(at(100), beatOf("i", 2).draining()).NeedsReplica)
+	assert.Assert(t, !one.Heartbeat(at(100), heartbeatOf("i", 2).draining()).NeedsReplica)
 	again := newTestTable("c2", "hall-b", at(200))
 	again.SetPeers([]Peer{{Name: "c1", Zone: "hall-a"}}, []string{"c1", "c2"})
 	pass(at(700), again, one, again.Tick(at(700)).Broadcast)
-	assert.Assert(t, one.Heartbeat(at(800), beatOf("i", 3).draining()).NeedsReplica)
+	assert.Assert(t, one.Heartbeat(at(800), heartbeatOf("i", 3).draining()).NeedsReplica)
 }
--- a/internal/registry/beat.go
+++ b/internal/registry/receive.go
@@ -6,50 +6,50 @@
 const coldTolerance = 250 * time.Millisecond
 
 // Heartbeat takes in a heartbeat that came to this process.
-func (t *Table) Heartbeat(now time.Time, beat Heartbeat) Change {
-	known, exists := t.records[beat.ID]
+func (t *Table) Heartbeat(now time.Time, heartbeat Heartbeat) Change {
+	known, exists := t.records[heartbeat.ID]
 	if !exists {
-		known = t.add(beat.ID)
+		known = t.add(heartbeat.ID)
 		known.knownSince = now
 		known.State, known.Reported = StateReady, StateReady
 	}
 	if known.Final() {
 		return t.change(known, false)
 	}
-	if exists && beat.Seq < known.Seq {
+	if exists && heartbeat.Seq < known.Seq {
 		return t.change(known, false)
 	}
 	before := known.Instance
 	known.heardAt = now
 	known.heardBy = t.options.Self
-	known.Seq = beat.Seq
-	if t.holderBlocks(now, known, beat.Address, exists) {
+	known.Seq = heartbeat.Seq
+	if t.holderBlocks(now, known, heartbeat.Address, exists) {
 		return t.change(known, false)
 	}
-	t.noteBeat(known)
-	describe(now, &known.Instance, beat)
+	t.noteHeartbeat(known)
+	describe(now, &known.Instance, heartbeat)
 	changed := !exists || !known.SameAs(before)
 	if changed {
-		known.ChangedSeq = beat.Seq
+		known.ChangedSeq = heartbeat.Seq
 	}
 	t.rehash(known)
 	return t.change(known, changed)
 }
 
 // describe takes over what a heartbeat says. A heartbeat brings a silent instance back, and never one that is draining.
-func describe(now time.Time, instance *Instance, beat Heartbeat) {
-	instance.Backend = beat.Backend
-	instance.Address = beat.Address
-	instance.Zone = beat.Zone
-	instance.Generation = beat.Generation
-	instance.Slots = beat.Slots
-	instance.Phase = beat.Phase
-	instance.Models = beat.Models
-	instance.Reported = Furthest(instance.Reported, beat.State)
+func describe(now time.Time, instance *Instance, heartbeat Heartbeat) {
+	instance.Backend = heartbeat.Backend
+	instance.Address = heartbeat.Address
+	instance.Zone = heartbeat.Zone
+	instance.Generation = heartbeat.Generation
+	instance.Slots = heartbeat.Slots
+	instance.Phase = heartbeat.Phase
+	instance.Models = heartbeat.Models
+	instance.Reported = Furthest(instance.Reported, heartbeat.State)
 	instance.State = instance.Reported
-	instance.ColdUntil = coldUntil(now, instance.ColdUntil, beat.Warmup)
-	if beat.Notice {
-		instance.GoneAt = earliestEnd(instance.GoneAt, now.Add(beat.Remaining))
+	instance.ColdUntil = coldUntil(now, instance.ColdUntil, heartbeat.Warmup)
+	if heartbeat.Notice {
+		instance.GoneAt = earliestEnd(instance.GoneAt, now.Add(heartbeat.Remaining))
 	}
 }
 
@@ -150,8 +150,8 @@
 	}
 }
 
-// noteBeat puts a record into the next digest.
-func (t *Table) noteBeat(known *record) {
+// noteHeartbeat puts a record into the next digest.
+func (t *Table) noteHeartbeat(known *record) {
 	if known.pendingBeat {
 		return
 	}
--- a/internal/registry/table_test.go
+++ b/internal/registry/table_test.go
@@ -20,7 +20,7 @@
 	return NewTable(Options{HeartbeatInterval: testInterval, Self: name, Zone: zone, Life: IDHash(name + now.String())}, now)
 }
 
-func beatOf(id string, seq uint64) Heartbeat {
+func heartbeatOf(id string, seq uint64) Heartbeat {
 	return Heartbeat{ID: id, Backend: "quiz", Address: "10.0.0.1:80", Zone: "hall-a", Slots: 4, State: StateReady, Seq: seq}
 }
 
@@ -52,8 +52,8 @@
 
 func TestLateHeartbeatNeverWins(t *testing.T) {
 	table := newTestTable("c1", "hall-a", at(0))
-	assert.Assert(t, table.Heartbeat(at(0), beatOf("i", 5)).Changed)
-	late := beatOf("i", 4)
+	assert.Assert(t, table.Heartbeat(at(0), heartbeatOf("i", 5)).Changed)
+	late := heartbeatOf("i", 4)
 	late.Slots = 9
 	assert.Assert(t, !table.Heartbeat(at(10), late).Changed)
 	instance, _ := table.Instance("i")
@@ -63,8 +63,8 @@
 
 func TestHeartbeatThatSaysNothingNewChangesNothing(t *testing.T) {
 	table := newTestTable("c1", "hall-a", at(0))
-	table.Heartbeat(at(0), beatOf("i", 1))
-	assert.Assert(t, !table.Heartbeat(at(1200), beatOf("i", 2)).Changed)
+	table.Heartbeat(at(0), heartbeatOf("i", 1))
+	assert.Assert(t, !table.Heartbeat(at(1200), heartbeatOf("i", 2)).Changed)
 	instance, _ := table.Instance("i")
 	assert.Equal(t, instance.Seq, uint64(2))
 	assert.Equal(t, instance.ChangedSeq, uint64(1))
@@ -72,31 +72,31 @@
 
 func TestDrainingIsNeverTakenBack(t *testing.T) {
 	table := newTestTable("c1", "hall-a", at(0))
-	table.Heartbeat(at(0), beatOf("i", 1))
-	assert.Assert(t, table.Heartbeat(at(100), beatOf("i", 2).draining()).Changed)
-	assert.Assert(t, !table.Heartbeat(at(200), beatOf("i", 3)).Changed)
+	table.Heartbeat(at(0), heartbeatOf("i", 1))
+	assert.Assert(t, table.Heartbeat(at(100), heartbeatOf("i", 2).draining()).Changed)
+	assert.Assert(t, !table.Heartbeat(at(200), heartbeatOf("i", 3)).Changed)
 	assert.Equal(t, stateOf(t, table, "i"), StateDraining)
 }
 
 func TestInstanceThatLeftStaysGone(t *testing.T) {
 	table := newTestTable("c1", "hall-a", at(0))
-	table.Heartbeat(at(0), beatOf("i", 1))
+	table.Heartbeat(at(0), heartbeatOf("i", 1))
 	assert.Assert(t, table.Leave(at(100), "i").Changed)
 	assert.Assert(t, !table.Leave(at(150), "i").Changed)
-	assert.Assert(t, !table.Heartbeat(at(200), beatOf("i", 9)).Changed)
+	assert.Assert(t, !table.Heartbeat(at(200), heartbeatOf("i", 9)).Changed)
 	assert.Equal(t, stateOf(t, table, "i"), StateGone)
 }
 
 func TestLeaveOfAnUnknownInstanceIsRemembered(t *testing.T) {
 	table := newTestTable("c1", "hall-a", at(0))
 	assert.Assert(t, table.Leave(at(0), "i").Changed)
-	assert.Assert(t, !table.Heartbeat(at(100), beatOf("i", 1)).Changed)
+	assert.Assert(t, !table.Heartbeat(at(100), heartbeatOf("i", 1)).Changed)
 	assert.Equal(t, stateOf(t, table, "i"), StateGone)
 }
 
 func TestGoneInstanceIsForgottenAfterAWhile(t *testing.T) {
 	table := newTestTable("c1", "hall-a", at(0))
-	table.Heartbeat(at(0), beatOf("i", 1))
+	table.Heartbeat(at(0), heartbeatOf("i", 1))
 	table.Leave(at(0), "i")
 	tickUntil(table, 0, 59_000)
 	assert.Equal(t, len(table.Instances()), 1)
@@ -108,7 +108,7 @@
 
 func TestSilentInstanceIsAvoidedThenGoneAndComesBack(t *testing.T) {
 	table := newTestTable("c1", "hall-a", at(0))
-	table.Heartbeat(at(0), beatOf("i", 1))
+	table.Heartbeat(at(0), heartbeatOf("i", 1))
 	assert.Equal(t, len(tickUntil(table, 0, 2900)), 0)
 	changed := tickUntil(table, 3000, 3300)
 	assert.Equal(t, len(changed), 1)
@@ -117,22 +117,22 @@
 	assert.Equal(t, len(changed), 1)
 	assert.Equal(t, changed[0].State, StateGone)
 	assert.Assert(t, !changed[0].Final())
-	assert.Assert(t, table.Heartbeat(at(13_000), beatOf("i", 2)).Changed)
+	assert.Assert(t, table.Heartbeat(at(13_000), heartbeatOf("i", 2)).Changed)
 	assert.Equal(t, stateOf(t, table, "i"), StateReady)
 }
 
 func TestSilentDrainingInstanceComesBackDraining(t *testing.T) {
 	table := newTestTable("c1", "hall-a", at(0))
-	table.Heartbeat(at(0), beatOf("i", 1).draining())
+	table.Heartbeat(at(0), heartbeatOf("i", 1).draining())
 	tickUntil(table, 0, 3300)
 	assert.Equal(t, stateOf(t, table, "i"), StateSilent)
-	table.Heartbeat(at(3400), beatOf("i", 2))
+	table.Heartbeat(at(3400), heartbeatOf("i", 2))
 	assert.Equal(t, stateOf(t, table, "i"), StateDraining)
 }
 
 func TestOwnAbsenceIsNoProofOfSilence(t *testing.T) {
 	table := newTestTable("c1", "hall-a", at(0))
-	table.Heartbeat(at(0), beatOf("i", 1))
+	table.Heartbeat(at(0), heartbeatOf("i", 1))
 	tickUntil(table, 0, 1000)
 	assert.Equal(t, len(tickUntil(table, 9000, 11_900)), 0, "it was away for 8 s itself")
 	changed := tickUntil(table, 12_000, 12_300)
@@ -142,7 +142,7 @@
 
 func TestNothingExpiresWhileCutOff(t *testing.T) {
 	table := newTestTable("c1", "hall-a", at(0))
-	table.Heartbeat(at(0), beatOf("i", 1))
+	table.Heartbeat(at(0), heartbeatOf("i", 1))
 	table.SetInTouch(at(500), false)
 	assert.Equal(t, len(tickUntil(table, 500, 20_000)), 0)
 	table.SetInTouch(at(20_000), true)
@@ -154,11 +154,11 @@
 
 func TestNoticeEndsTheInstance(t *testing.T) {
 	table := newTestTable("c1", "hall-a", at(0))
-	beat := beatOf("i", 1).draining()
-	beat.Notice, beat.Remaining = true, 2*time.Second
-	table.Heartbeat(at(0), beat)
-	beat.Seq, beat.Remaining = 2, 1950*time.Millisecond
-	table.Heartbeat(at(100), beat)
+	heartbeat := heartbeatOf("i", 1).draining()
+	heartbeat.Notice, heartbeat.Remaining = true, 2*time.Second
+	table.Heartbeat(at(0), heartbeat)
+	heartbeat.Seq, heartbeat.Remaining = 2, 1950*time.Millisecond
+	table.Heartbeat(at(100), heartbeat)
 	instance, _ := table.Instance("i")
 	assert.Equal(t, instance.GoneAt, at(2000), "the first end told stays")
 	tickUntil(table, 100, 1900)
@@ -170,43 +170,43 @@
 
 func TestWarmUpIsKeptOnTheOwnClock(t *testing.T) {
 	table := newTestTable("c1", "hall-a", at(0))
-	beat := beatOf("i", 1)
-	beat.Warmup = 3 * time.Second
-	table.Heartbeat(at(0), beat)
-	beat.Seq, beat.Warmup = 2, 1900*time.Millisecond
-	assert.Assert(t, !table.Heartbeat(at(1200), beat).Changed, "nearly the same end")
+	heartbeat := heartbeatOf("i", 1)
+	heartbeat.Warmup = 3 * time.Second
+	table.Heartbeat(at(0), heartbeat)
+	heartbeat.Seq, heartbeat.Warmup = 2, 1900*time.Millisecond
+	assert.Assert(t, !table.Heartbeat(at(1200), heartbeat).Changed, "nearly the same end")
 	instance, _ := table.Instance("i")
 	assert.Assert(t, instance.Cold(at(2999)))
 	assert.Assert(t, !instance.Cold(at(3000)))
-	beat.Seq, beat.Warmup = 3, 5*time.Second
-	assert.Assert(t, table.Heartbeat(at(2400), beat).Changed, "cold again")
+	heartbeat.Seq, heartbeat.Warmup = 3, 5*time.Second
+	assert.Assert(t, table.Heartbeat(at(2400), heartbeat).Changed, "cold again")
 	instance, _ = table.Instance("i")
 	assert.Equal(t, instance.ColdUntil, at(7400))
-	beat.Seq, beat.Warmup = 4, 0
-	assert.Assert(t, table.Heartbeat(at(3600), beat).Changed, "warm at once")
+	heartbeat.Seq, heartbeat.Warmup = 4, 0
+	assert.Assert(t, table.Heartbeat(at(3600), heartbeat).Changed, "warm at once")
 	instance, _ = table.Instance("i")
 	assert.Assert(t, !instance.Cold(at(3600)))
 }
 
 func TestAddressBelongsToTheNewestInstance(t *testing.T) {
 	table := newTestTable("c1", "hall-a", at(0))
-	table.Heartbeat(at(0), beatOf("old", 7))
-	table.Heartbeat(at(2000), beatOf("new", 1))
+	table.Heartbeat(at(0), heartbeatOf("old", 7))
+	table.Heartbeat(at(2000), heartbeatOf("new", 1))
 	changed := table.Tick(at(2100)).Changed
 	assert.Equal(t, len(changed), 1)
 	assert.Equal(t, changed[0].ID, "old")
 	assert.Equal(t, changed[0].State, StateGone)
-	assert.Assert(t, !table.Heartbeat(at(2200), beatOf("old", 8)).Changed, "a heartbeat that was long under way")
+	assert.Assert(t, !table.Heartbeat(at(2200), heartbeatOf("old", 8)).Changed, "a heartbeat that was long under way")
 	assert.Equal(t, stateOf(t, table, "old"), StateGone)
 	assert.Equal(t, stateOf(t, table, "new"), StateReady)
 }
 
 func TestAddressGoesBackOnlyFromASilentInstance(t *testing.T) {
 	table := newTestTable("c1", "hall-a", at(0))
-	table.Heartbeat(at(0), beatOf("one", 7))
-	table.Heartbeat(at(2000), beatOf("two", 1))
+	table.Heartbeat(at(0), heartbeatOf("one", 7))
+	table.Heartbeat(at(2000), heartbeatOf("two", 1))
 	tickUntil(table, 2000, 5500)
-	assert.Assert(t, table.Heartbeat(at(5600), beatOf("one", 9)).Changed)
+	assert.Assert(t, table.Heartbeat(at(5600), heartbeatOf("one", 9)).Changed)
 	assert.Equal(t, stateOf(t, table, "one"), StateReady)
 	assert.Equal(t, stateOf(t, table, "two"), StateGone)
 }
@@ -230,8 +230,8 @@
 func TestInstancesThatShareAFingerprintAreKeptApart(t *testing.T) {
 	one, two := sharedFingerprint(t)
 	table := newTestTable("c1", "hall-a", at(0))
-	table.Heartbeat(at(0), beatOf(one, 1).on("a:1"))
-	table.Heartbeat(at(0), beatOf(two, 1).on("a:2"))
+	table.Heartbeat(at(0), heartbeatOf(one, 1).on("a:1"))
+	table.Heartbeat(at(0), heartbeatOf(two, 1).on("a:2"))
 	digest := &feedpb.RegistryDigest{Fingerprints: []uint32{fingerprintOf(one)}, Seqs: []uint64{50}, AgesMs: []uint32{100}}
 	changed, reply := table.Merge(at(1000), &feedpb.RegistryMessage{Source: "c2", Digest: digest})
 	assert.Equal(t, len(changed), 0)
@@ -246,8 +246,8 @@
 	one, two := sharedFingerprint(t)
 	for _, order := range [][]string{{one, two}, {two, one}} {
 		table := newTestTable("c1", "hall-a", at(0))
-		table.Heartbeat(at(0), beatOf(one, 1).on("a:1"))
-		table.Heartbeat(at(0), beatOf(two, 1).on("a:2"))
+		table.Heartbeat(at(0), heartbeatOf(one, 1).on("a:1"))
+		table.Heartbeat(at(0), heartbeatOf(two, 1).on("a:2"))
 		table.forget(table.records[order[0]])
 		assert.Equal(t, table.fingerprints[fingerprintOf(one)].ID, order[1])
 		assert.Assert(t, table.fingerprints[fingerprintOf(one)].nextFingerprint == nil)
@@ -259,8 +259,8 @@
 
 func TestInstanceMayMoveToAnotherAddress(t *testing.T) {
 	table := newTestTable("c1", "hall-a", at(0))
-	table.Heartbeat(at(0), beatOf("i", 1).on("a:1"))
-	assert.Assert(t, table.Heartbeat(at(100), beatOf("i", 2).on("a:2")).Changed)
+	table.Heartbeat(at(0), heartbeatOf("i", 1).on("a:1"))
+	assert.Assert(t, table.Heartbeat(at(100), heartbeatOf("i", 2).on("a:2")).Changed)
 	assert.Equal(t, len(table.holders), 1)
 	assert.Equal(t, table.holders["a:2"].ID, "i")
 }
@@ -283,10 +283,10 @@
 func ExampleTable_Heartbeat() {
 	now := time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
 	table := NewTable(Options{HeartbeatInterval: time.Second, Self: "10.0.0.4:7000", Zone: "hall-a"}, now)
-	beat := Heartbeat{ID: "i-1", Backend: "quiz", Address: "10.0.0.9:80", Zone: "hall-a", State: StateReady, Seq: 1}
-	fmt.Println(table.Heartbeat(now, beat).Changed)
-	beat.Seq, beat.State = 2, StateDraining
-	change := table.Heartbeat(now.Add(time.Second), beat)
+	heartbeat := Heartbeat{ID: "i-1", Backend: "quiz", Address: "10.0.0.9:80", Zone: "hall-a", State: StateReady, Seq: 1}
+	fmt.Println(table.Heartbeat(now, heartbeat).Changed)
+	heartbeat.Seq, heartbeat.State = 2, StateDraining
+	change := table.Heartbeat(now.Add(time.Second), heartbeat)
 	fmt.Println(change.Instance.State, change.NeedsReplica)
 	// Output:
 	// true
--- a/internal/registry/walk_test.go
+++ b/internal/registry/walk_test.go
@@ -30,7 +30,7 @@
 }
 
 type endpoint struct {
-	beat         Heartbeat
+	heartbeat    Heartbeat
 	left         bool
 	acknowledged State // the furthest state that has been acknowledged as safe
 	waiting      map[string]awaited
@@ -132,7 +132,7 @@
 	if e.left {
 		return StateGone
 	}
-	return e.beat.State
+	return e.heartbeat.State
 }
 
 // call lets an endpoint call a process: with a heartbeat, or to say that it left.
@@ -143,8 +143,8 @@
 	if known.left {
 		change = table.Leave(w.now, id)
 	} else {
-		known.beat.Seq++
-		change = table.Heartbeat(w.now, known.beat)
+		known.heartbeat.Seq++
+		change = table.Heartbeat(w.now, known.heartbeat)
 	}
 	if !change.Changed && !change.NeedsReplica {
 		if known.reported() != StateReady {
@@ -234,17 +234,17 @@
 	id := fmt.Sprint("i", rapid.IntRange(0, 5).Draw(w.t, "endpoint"))
 	known := w.endpoints[id]
 	if known == nil {
-		beat := beatOf(id, 0).on(fmt.Sprint("a:", id))
-		known = &endpoint{beat: beat, waiting: make(map[string]awaited)}
+		heartbeat := heartbeatOf(id, 0).on(fmt.Sprint("a:", id))
+		known = &endpoint{heartbeat: heartbeat, waiting: make(map[string]awaited)}
 		w.endpoints[id] = known
 	}
 	switch rapid.IntRange(0, 12).Draw(w.t, "action") {
 	case 0:
-		known.beat.State = StateDraining
+		known.heartbeat.State = StateDraining
 	case 1:
-		known.left = known.beat.State == StateDraining
+		known.left = known.heartbeat.State == StateDraining
 	case 2:
-		known.beat.Slots++
+		known.heartbeat.Slots++
 	case 3:
 		w.restartIfHarmless(name)
 		return
@@ -288,7 +288,7 @@
 			}
 			assert.Equal(w.t, instance.State, known.reported(), "%s at %s", id, name)
 			if !known.left {
-				assert.Equal(w.t, instance.Slots, known.beat.Slots)
+				assert.Equal(w.t, instance.Slots, known.heartbeat.Slots)
 			}
 		}
 	}
