A heartbeat confirms the epoch at a member only once the head had it back

Cause: the tail took heartbeats that came for a proof that its epoch is in force, but for those of the first 200 ms after a silence. Over a link that delays everything by the same 4 s there is no such silence, and it called itself up to date, with its relays and everybody who asks it, for up to 4 s after another view was in force; members in the middle of a chain of three or more of five voters alike. No read or order was answered from it: these go through the chain. Change: a heartbeat's number is drawn for each life of the head; once it has come back the head sends Confirm down the chain, and each member notes that the epoch was in force when that heartbeat first passed it. One mechanism (question.go) for heartbeats and for what processes outside the chain ask. The simulation holds for every process after every call that the next view had not been decided by the time for which it takes its epoch for confirmed.

--- a/internal/chain/dispatch.go
+++ b/internal/chain/dispatch.go
@@ -82,6 +82,8 @@
 		n.receiveHeartbeat(body.Heartbeat)
 	case *chainpb.Message_Barrier:
 		n.receiveBarrier(body.Barrier)
+	case *chainpb.Message_Confirm:
+		n.receiveConfirm(body.Confirm)
 	}
 }
 
--- a/internal/chain/feed.go
+++ b/internal/chain/feed.go
@@ -13,13 +13,8 @@
 	followers       map[Identity]*follower
 	fetchedAt       time.Time
 	joinRequestedAt time.Time
-	token           uint64 // of the newest question to a tail; the first one is drawn, so that those of another life are known
-	questions       [questionsHeld]numberedTime
 }
 
-// questionsHeld is how many questions to the tail are remembered: those of more than the time for which a confirmation holds.
-const questionsHeld = 16
-
 // follower is a process that gets committed entries.
 type follower struct {
 	address  string
@@ -32,9 +27,7 @@
 // inOrder are the followers in a fixed order.
 func (f *feed) inOrder() []Identity { return slices.Sorted(maps.Keys(f.followers)) }
 
-func newFeed(firstToken uint64) feed {
-	return feed{followers: make(map[Identity]*follower), token: firstToken}
-}
+func newFeed() feed { return feed{followers: make(map[Identity]*follower)} }
 
 // tickFeed keeps the list of followers: who is alive outside the chain, or asked lately.
 func (n *Node) tickFeed() {
@@ -136,14 +129,12 @@
 		return
 	}
 	n.feed.fetchedAt = n.now
-	n.feed.token++
-	n.feed.questions[n.feed.token%questionsHeld] = numberedTime{number: n.feed.token, at: n.now}
 	n.send(tail, &chainpb.Message{Body: &chainpb.Message_Fetch{Fetch: &chainpb.Fetch{
 		LastEpoch:    n.log.lastEpoch(),
 		LastPosition: n.log.lastPosition(),
 		Committed:    n.log.committed,
 		Member:       memberToWire(n.self),
-		Token:        n.feed.token,
+		Token:        n.questions.ask(n.now),
 	}}})
 }
 
@@ -172,17 +163,13 @@
 	n.confirmByFeed(epoch, message)
 }
 
-// confirmByFeed notes that the epoch was in force when the question was sent that the tail answers, if all that the tail has committed
-// is here. What comes unasked may have been under way for long, or have waited while this process stood still: it proves nothing.
+// confirmByFeed takes the tail's answer to a question, if all that the tail has committed is here. The tail's own confirmation may be
+// as old as it holds, so that a process outside the chain may count an epoch that is over as confirmed for twice that time.
 func (n *Node) confirmByFeed(epoch uint64, message *chainpb.Feed) {
 	if !message.Confirmed || epoch != n.view.Epoch || n.log.committed < message.Committed {
 		return
 	}
-	asked := n.feed.questions[message.Token%questionsHeld]
-	if message.Token == 0 || asked.number != message.Token || asked.at.Before(n.confirmedAt) {
-		return
-	}
-	n.confirmedAt, n.confirmedEpoch = asked.at, epoch
+	n.confirm(message.Token)
 }
 
 // takeSnapshot replaces the log, unless that holds as much: what follows in it may have been answered in a newer epoch.
--- a/internal/chain/heartbeat.go
+++ b/internal/chain/heartbeat.go
@@ -1,6 +1,10 @@
 package chain
 
-import "wallflow/internal/chain/chainpb"
+import (
+	"time"
+
+	"wallflow/internal/chain/chainpb"
+)
 
 // tickChain does what a member of the chain does from time to time.
 func (n *Node) tickChain() {
@@ -20,7 +24,7 @@
 
 // sendHeartbeat begins a round through the chain. It comes back as an acknowledgement if no member has promised for the next epoch.
 func (n *Node) sendHeartbeat() {
-	n.heartbeat++
+	n.heartbeat = n.questions.ask(n.now)
 	n.heartbeatSentAt = n.now
 	n.takeCheckpoint()
 	if n.heartbeatUnansweredSince.IsZero() {
@@ -31,13 +35,7 @@
 
 // passHeartbeat passes a heartbeat on, or turns it round at the tail.
 func (n *Node) passHeartbeat(number uint64) {
-	n.heartbeats[number%heartbeatsHeld] = numberedTime{number: number, at: n.now}
-	if n.now.Sub(n.heartbeatPassedAt) >= freshFor {
-		n.heartbeatsSince = n.now
-	}
-	n.heartbeatPassedAt = n.now
 	if n.isTail() {
-		n.confirmAtTail(number)
 		n.acknowledge(number)
 		n.feedDigests()
 		return
@@ -56,23 +54,36 @@
 		n.requestSyncAgain()
 	}
 	if n.durableInstalled == n.view.Epoch {
+		n.questions.note(heartbeat.Number, n.now)
 		n.passHeartbeat(heartbeat.Number)
 	}
 }
 
-// confirmAtTail takes a heartbeat that has passed the whole chain. The first ones after a silence may have been under way for long, or have
-// waited while this process stood still: they prove nothing.
-func (n *Node) confirmAtTail(number uint64) {
-	if n.isHead() || n.now.Sub(n.heartbeatsSince) >= heartbeatsSettle {
-		n.confirm(number)
+// heartbeatReturned takes a heartbeat that has passed the whole chain and come back to the head: no member had promised for the next
+// epoch when it passed there. The other members are told.
+func (n *Node) heartbeatReturned(number uint64) {
+	if _, sent := n.questions.askedAt(number); !sent {
+		return
+	}
+	n.confirm(number)
+	n.passConfirm(number)
+	n.heartbeatUnansweredSince = time.Time{}
+	if number != n.heartbeat {
+		n.heartbeatUnansweredSince = n.heartbeatSentAt
 	}
 }
 
-// confirm notes that the epoch was in force when a heartbeat passed here.
-func (n *Node) confirm(number uint64) {
-	passed := n.heartbeats[number%heartbeatsHeld]
-	if number == 0 || passed.number != number || passed.at.Before(n.confirmedAt) {
+func (n *Node) receiveConfirm(confirm *chainpb.Confirm) {
+	if !n.serving() {
 		return
 	}
-	n.confirmedAt, n.confirmedEpoch = passed.at, n.view.Epoch
+	n.confirm(confirm.Heartbeat)
+	n.passConfirm(confirm.Heartbeat)
+}
+
+// passConfirm tells the rest of the chain that a heartbeat came back.
+func (n *Node) passConfirm(number uint64) {
+	if !n.isTail() {
+		n.send(n.successor(), &chainpb.Message{Body: &chainpb.Message_Confirm{Confirm: &chainpb.Confirm{Heartbeat: number}}})
+	}
 }
--- a/internal/chain/install.go
+++ b/internal/chain/install.go
@@ -18,10 +18,7 @@
 	heartbeatSentAt          time.Time // head: when it went out
 	heartbeatUnansweredSince time.Time // head: when the oldest heartbeat without an acknowledgement went out
 	predecessorHeardAt       time.Time // others: when the predecessor last sent anything
-	heartbeatPassedAt        time.Time // when a heartbeat last passed here
-	heartbeatsSince          time.Time // when the first heartbeat passed here after a silence
 	successorHeardAt         time.Time // all but the tail: when the successor last sent anything
-	heartbeats               [heartbeatsHeld]numberedTime
 	confirmedAt              time.Time // the epoch was in force at this time
 	confirmedEpoch           uint64
 	activeSince              time.Time // head: since when the whole chain has installed the epoch
@@ -31,14 +28,6 @@
 	votersAfter              time.Time                   // head: no change of the voters before
 }
 
-const heartbeatsHeld = 8
-
-// numberedTime remembers when a numbered heartbeat passed, or a numbered question was sent.
-type numberedTime struct {
-	number uint64
-	at     time.Time
-}
-
 // promised tells whether the node takes no part in its epoch any more.
 func (n *Node) promised() bool { return !n.acceptor.promised.zero() && !n.mistakes.headGoesOn }
 
--- a/internal/chain/node.go
+++ b/internal/chain/node.go
@@ -38,8 +38,9 @@
 	election         election
 	membership       membership
 	replication
-	feed    feed
-	clients clients
+	questions questions
+	feed      feed
+	clients   clients
 }
 
 // New makes a node from the records of its store, which are none at the first start.
@@ -55,7 +56,8 @@
 		viewSince:  now,
 		acceptor:   acceptor{instance: 1},
 		membership: newMembership(),
-		feed:       newFeed(options.Random.Uint64() >> 1),
+		questions:  questions{newest: options.Random.Uint64() >> 1},
+		feed:       newFeed(),
 		clients:    newClients(),
 	}
 	n.self.Identity = ""
--- a/internal/chain/replicate.go
+++ b/internal/chain/replicate.go
@@ -131,7 +131,6 @@
 		return
 	}
 	n.commit(ack.Committed)
-	n.confirm(ack.Heartbeat)
 	n.acknowledge(ack.Heartbeat)
 }
 
@@ -154,11 +153,5 @@
 	if n.log.committed == n.log.lastPosition() {
 		n.entryWaits = time.Time{}
 	}
-	if heartbeat == 0 {
-		return
-	}
-	n.heartbeatUnansweredSince = time.Time{}
-	if heartbeat < n.heartbeat {
-		n.heartbeatUnansweredSince = n.heartbeatSentAt
-	}
+	n.heartbeatReturned(heartbeat)
 }
--- a/internal/chain/simulation_test.go
+++ b/internal/chain/simulation_test.go
@@ -29,10 +29,11 @@
 	minimum   int // length of the chain that is wanted
 	initial   State
 	decode    Decoder
-	soft      bool           // what is broken is noted, not fatal
-	watch     func(*process) // after every call of a node
-	executed  int            // events so far
-	before    func(step int) // every event
+	soft      bool                 // what is broken is noted, not fatal
+	watch     func(*process)       // after every call of a node
+	executed  int                  // events so far
+	decided   map[uint64]time.Time // when the first process learned the view of an epoch
+	before    func(step int)       // every event
 	broken    []string
 }
 
@@ -44,7 +45,8 @@
 	bytesAMs     int           // that pass in a millisecond; 0: any number
 	loss         float64
 	duplicates   float64
-	cut          map[[2]int]bool // from, to
+	cut          map[[2]int]bool          // from, to
+	slow         map[[2]int]time.Duration // from, to: on top of all other delays
 }
 
 // process is a control process with its disk.
@@ -89,6 +91,7 @@
 		now:     time.Unix(1000, 0),
 		minimum: 2,
 		initial: ledger{},
+		decided: make(map[uint64]time.Time),
 		decode:  decodeLedger,
 		trouble: networkTrouble{minimumDelay: time.Millisecond, spreadDelay: 40 * time.Millisecond, cut: make(map[[2]int]bool)},
 	}
@@ -330,6 +333,7 @@
 		s.watch(p)
 	}
 	p.checkPersisted()
+	p.checkConfirmed()
 	if _, revision := p.node.Committed(); revision < p.revision {
 		s.fail("%s: committed went from %d back to %d", p.self.Name, p.revision, revision)
 	} else {
@@ -379,6 +383,25 @@
 	}
 }
 
+// checkConfirmed holds that an epoch was in force at the time for which a process takes it for confirmed: the view of the next one had
+// not been decided by then. What a process outside the chain knows of the tail may be older by the time for which a confirmation holds.
+func (p *process) checkConfirmed() {
+	n, s := p.node, p.simulation
+	if _, known := s.decided[n.view.Epoch]; !known {
+		s.decided[n.view.Epoch] = s.now
+	}
+	over, decided := s.decided[n.confirmedEpoch+1]
+	if !decided || n.confirmedEpoch != n.view.Epoch {
+		return
+	}
+	if !n.inChain() {
+		over = over.Add(freshFor)
+	}
+	if n.confirmedAt.After(over) {
+		s.fail("%s takes epoch %d for confirmed %v after the next one was decided", p.self.Name, n.confirmedEpoch, n.confirmedAt.Sub(over))
+	}
+}
+
 func (p *process) write(write Write) {
 	life := p.life
 	p.writing = &write
@@ -431,6 +454,7 @@
 	if from.self.Region != to.self.Region {
 		delay += s.trouble.oneWay
 	}
+	delay += s.trouble.slow[[2]int{from.number, to.number}]
 	if s.trouble.bytesAMs > 0 {
 		delay += time.Duration(len(encoded)/s.trouble.bytesAMs) * time.Millisecond
 	}
--- a/internal/chain/types.go
+++ b/internal/chain/types.go
@@ -139,8 +139,7 @@
 	slowLink            = 128                     // bytes a millisecond, at which a long command passes from end to end at least
 	readRetry           = 250 * time.Millisecond  // a read without answer is sent again
 	heartbeatInterval   = 300 * time.Millisecond  // from head to tail, and digests to learners
-	freshFor            = time.Second             // how long a confirmation of the epoch holds
-	heartbeatsSettle    = 200 * time.Millisecond  // after a silence, before heartbeats confirm at the tail
+	freshFor            = time.Second             // how long a confirmation of the epoch holds, from when it was asked for
 	quietBeforeVote     = 600 * time.Millisecond  // a voter that heard no confirmation for so long supports a new view
 	syncRetry           = 200 * time.Millisecond  // a member asks its predecessor again
 	startGrace          = 700 * time.Millisecond  // after a start, nobody is held dead yet
--- a/internal/mutation/listed.go
+++ b/internal/mutation/listed.go
@@ -96,13 +96,19 @@
 // followerMistakes are made in catch-up and in the replacement of voters.
 func followerMistakes() []mistake {
 	const feed, voters = "internal/chain/feed.go", "internal/chain/voters.go"
+	const heartbeat, question = "internal/chain/heartbeat.go", "internal/chain/question.go"
 	return []mistake{
 		{"catch-up: a word of the tail that nobody asked for confirms", feed,
-			"\tif message.Token == 0 || asked.number != message.Token ||", "\tif message.Token == 0 {\n\t\tasked.at = n.now\n\t}\n\tif asked.number != message.Token && message.Token != 0 ||", chainTests},
-		{"catch-up: an answer confirms for the time at which it comes", feed,
-			"n.confirmedAt, n.confirmedEpoch = asked.at, epoch", "n.confirmedAt, n.confirmedEpoch = n.now, epoch", chainTests},
-		{"heartbeats: those that waited for a frozen tail confirm", "internal/chain/heartbeat.go",
-			"n.isHead() || n.now.Sub(n.heartbeatsSince) >= heartbeatsSettle", "true", chainTests},
+			"\tn.confirm(message.Token)\n", "\tn.confirmedAt, n.confirmedEpoch = n.now, epoch\n", chainTests},
+		{"questions: an answer confirms for the time at which it comes", question,
+			"n.confirmedAt, n.confirmedEpoch = at, n.view.Epoch", "n.confirmedAt, n.confirmedEpoch = n.now, n.view.Epoch", chainTests},
+		{"questions: one that passes twice counts from the second time", question,
+			"; sent.number != number {", "; true {", chainTests},
+		{"questions: numbers begin anew with each life", "internal/chain/node.go",
+			"questions{newest: options.Random.Uint64() >> 1}", "questions{}", chainTests},
+		{"heartbeats: the tail confirms before they have come back", heartbeat,
+			"\t\tn.questions.note(heartbeat.Number, n.now)\n",
+			"\t\tn.questions.note(heartbeat.Number, n.now)\n\t\tif n.isTail() {\n\t\t\tn.confirm(heartbeat.Number)\n\t\t}\n", chainTests},
 		{"catch-up: a feed is taken without looking at what comes before it", feed,
 			"\tif !n.matches(message.PreviousEpoch, message.PreviousPosition) {", "\tif false {", chainTests},
 		{"catch-up: a snapshot is installed without being written", feed,
