Control processes look for each other by the voters in their stores

Cause: a control process that starts again with seeds that are down, or name it alone, knew the voters from its store, but membership knew nobody. Found by walks with more troubles. Change: membership joins through the voters of the newest view as well. A proposal of a process that membership holds for gone gets no support, and such a one is neither made head nor a member while there are enough others. The test of a process cut off for twenty seconds makes no exception any more for one that hears the tail.

--- a/internal/chain/failure_test.go
+++ b/internal/chain/failure_test.go
@@ -342,3 +342,26 @@
 	}
 	next()
 }
+
+// A member whose membership has lost all others, and that all others hold for gone, can still talk to them. It stops nothing: they go on
+// without it, and support no view that it proposes.
+func TestMemberThatMembershipLostStopsNothing(t *testing.T) {
+	for seed := range int64(12) {
+		s := settled(t, seed, 5)
+		members, _ := (&walk{simulation: s}).chainAndRest()
+		lost := members[int(seed)%len(members)]
+		began := s.newestView().Epoch
+		lost.unseen = true
+		s.until(4*time.Second, func() bool {
+			return s.newestView().Place(lost.node.Identity()) < 0 && s.active()
+		})
+		epoch := s.newestView().Epoch
+		assert.Assert(t, epoch <= began+2, "seed %d: from view %d to %d until it was left out", seed, began, epoch)
+		s.write("without it")
+		s.run(5 * time.Second)
+		assert.Assert(t, s.newestView().Epoch <= epoch+1, "seed %d: from view %d to %d", seed, epoch, s.newestView().Epoch)
+		lost.unseen = false
+		s.run(2 * time.Second)
+		s.finish("without it")
+	}
+}
--- a/internal/chain/membership.go
+++ b/internal/chain/membership.go
@@ -91,12 +91,12 @@
 	if n.isReplaced(identity) {
 		return true
 	}
-	return n.isSilent(identity)
+	return n.isGone(identity)
 }
 
-// isSilent tells whether membership holds a process for gone.
-func (n *Node) isSilent(identity Identity) bool {
-	if !n.membership.told || n.now.Sub(n.started) < startGrace {
+// isGone tells whether membership holds another process for gone.
+func (n *Node) isGone(identity Identity) bool {
+	if identity == n.self.Identity || !n.membership.told || n.now.Sub(n.started) < startGrace {
 		return false
 	}
 	_, alive := n.membership.alive[identity]
--- a/internal/chain/propose.go
+++ b/internal/chain/propose.go
@@ -37,7 +37,7 @@
 		return View{}, false
 	}
 	candidates := n.chainCandidates(view, head)
-	length := min(n.desiredChainLength(view), len(candidates)+1)
+	length := n.chainLength(view, candidates)
 	if length < n.leastChainLength(view) {
 		return View{}, false
 	}
@@ -46,6 +46,19 @@
 	return view, true
 }
 
+// chainLength is as many members as are wanted, or as there are. One that membership holds for gone is taken only where a chain would be
+// too short without it: the next view would drop it again.
+func (n *Node) chainLength(view View, candidates []chainCandidate) int {
+	present := 0
+	for _, candidate := range candidates {
+		if !candidate.gone {
+			present++
+		}
+	}
+	length := min(n.desiredChainLength(view), max(present+1, n.leastChainLength(view)))
+	return min(length, len(candidates)+1)
+}
+
 // leastChainLength is the length below which a chain does not work: a majority of the voters.
 func (n *Node) leastChainLength(view View) int {
 	if n.mistakes.chainOfOne {
@@ -99,8 +112,8 @@
 }
 
 // nextHead is one of the promisers that installed the newest epoch. What was answered passed through every member of the chain, so
-// each of them holds it all. One whose disk keeps up goes first, then the one with the longest log, and who is the head already
-// stays it where logs are equal.
+// each of them holds it all. One whose disk keeps up goes first, then one that membership does not hold for gone, then the one with the
+// longest log, and who is the head already stays it where logs are equal.
 func (n *Node) nextHead(view View) (Member, bool) {
 	var head Member
 	var newest *chainpb.Promise
@@ -114,6 +127,7 @@
 			order = cmp.Or(
 				cmp.Compare(promise.Installed, newest.Installed),
 				compareFlags(newest.Impaired, promise.Impaired),
+				compareFlags(n.isGone(head.Identity), n.isGone(voter.Identity)),
 				cmp.Compare(promise.Position, newest.Position),
 			)
 		}
@@ -128,6 +142,7 @@
 type chainCandidate struct {
 	member   Member
 	impaired bool // its disk does not keep up
+	gone     bool // membership holds it for gone, though it promised
 	silent   bool // a neighbour has not heard it lately
 	outside  bool // it is not in the chain now
 	newcomer bool // it did not promise, as it becomes a voter with this view
@@ -148,6 +163,7 @@
 		candidates = append(candidates, chainCandidate{
 			member:   voter,
 			impaired: promise.GetImpaired(),
+			gone:     n.view.Epoch > 0 && n.isGone(voter.Identity),
 			silent:   complaints[voter.Identity],
 			outside:  n.view.Place(voter.Identity) < 0,
 			newcomer: newcomer,
@@ -173,6 +189,7 @@
 func compareCandidates(a, b chainCandidate) int {
 	return cmp.Or(
 		compareFlags(a.newcomer, b.newcomer),
+		compareFlags(a.gone, b.gone),
 		compareFlags(a.impaired, b.impaired),
 		compareFlags(a.silent, b.silent),
 		compareFlags(a.outside, b.outside),
--- a/internal/chain/simulation_test.go
+++ b/internal/chain/simulation_test.go
@@ -65,6 +65,7 @@
 	hanging    bool
 	frozen     bool
 	heard      map[int]time.Time
+	unseen     bool // membership takes it for gone elsewhere, and all others for gone here, whatever passes between them
 	request    uint64
 	waiting    map[uint64]func(Answer)
 	revision   uint64 // the newest committed one in this life
@@ -303,6 +304,9 @@
 	}
 	var alive []Member
 	for _, other := range s.processes {
+		if other != p && (p.unseen || other.unseen) {
+			continue
+		}
 		if other == p || (other.up && !other.frozen && !s.trouble.cut[[2]int{p.number, other.number}] && !s.trouble.cut[[2]int{other.number, p.number}]) {
 			p.heard[other.number] = s.now
 		}
--- a/internal/control/process.go
+++ b/internal/control/process.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"math/rand"
 	randv2 "math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -48,6 +49,8 @@
 	instances *registry.Table
 	feed      *distribution.Publisher
 
+	seeds       []string                     // of the newest settings
+	seedsOf     uint64                       // epoch of the view whose voters membership was last told
 	answers     map[uint64]chan chain.Answer // by request
 	nextRequest uint64
 	published   published // what the feed has
@@ -136,6 +139,7 @@
 		ContactBound: set.Bounds.Contact(),
 		Random:       randv2.New(randv2.NewPCG(random.Uint64(), random.Uint64())),
 	}, now)
+	p.setSeeds(set.SeedInternalAddresses())
 	p.instances = registry.NewTable(registry.Options{
 		HeartbeatInterval: set.Heartbeat(),
 		Self:              set.InternalAddress(),
@@ -224,12 +228,30 @@
 func (p *Process) SetSeeds(seeds []string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.members.SetSeeds(seeds)
+	p.setSeeds(seeds)
+}
+
+// setSeeds has membership join through the seeds of the settings, and through the voters: a process that starts again finds them by its
+// store where all seeds are down, or name it alone.
+func (p *Process) setSeeds(seeds []string) {
+	p.seeds = seeds
+	view := p.chain.View()
+	p.seedsOf = view.Epoch
+	joined := slices.Clone(seeds)
+	for _, voter := range view.Voters {
+		if !slices.Contains(joined, voter.Address) {
+			joined = append(joined, voter.Address)
+		}
+	}
+	p.members.SetSeeds(joined)
 }
 
 func (p *Process) tick(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.chain.View().Epoch != p.seedsOf {
+		p.setSeeds(p.seeds)
+	}
 	p.spread(p.members.Tick(now))
 	p.carryOut(p.chain.Liveness(now, p.aliveControl()))
 	p.carryOut(p.chain.Tick(now))
--- a/internal/control/world_actors_test.go
+++ b/internal/control/world_actors_test.go
@@ -426,6 +426,10 @@
 		switch status {
 		case http.StatusOK:
 			w.acked++
+			if strike := w.atAcknowledgement; strike != nil {
+				w.atAcknowledgement = nil
+				strike()
+			}
 			w.ledger.inForce(w, target, name, "an acknowledgement")
 			w.ledger.of(target).acked = true
 			w.ledger.acked = append(w.ledger.acked, ackedVersion{target, w.now})
--- a/internal/control/world_cut_test.go
+++ b/internal/control/world_cut_test.go
@@ -156,8 +156,7 @@
 // checkCutOff holds what a process that reaches no majority must not do, once it had the time to notice.
 func (w *world) checkCutOff(c *controlMachine, name string) {
 	w.run(2 * time.Second)
-	hears := !w.cut[[2]int{w.machineOf(partTail).number, c.number}]
-	assert.Assert(w.t, hears || !c.process.inTouch(), "%s: in touch", name) // one that hears the tail holds what it does
+	assert.Assert(w.t, !c.process.inTouch(), "%s: in touch", name)
 	_, before := c.process.chain.Committed()
 	for _, order := range []config.Order{
 		{Kind: config.Put, HasMatch: true, Match: w.ledger.current, Body: documentOf(w.ledger.current+1, "cut off")},
@@ -224,3 +223,23 @@
 		}
 	}
 }
+
+// All control processes start again with seeds that name but themselves: they find each other by the voters in their stores.
+func TestProcessesWhoseSeedsNameThemselvesAloneFindEachOther(t *testing.T) {
+	t.Parallel()
+	for _, options := range []worldOptions{
+		{controls: 3, zones: 3, relays: 3, endpoints: 4, tolerate: 1},
+		{controls: 6, zones: 6, relays: 6, endpoints: 4, tolerate: 2},
+	} {
+		w := newWorld(t, 1, options)
+		w.run(12 * time.Second)
+		w.seedsOf = func(c *controlMachine) []string { return []string{c.controlAddress()} }
+		w.allDown(true, time.Second)
+		w.run(time.Duration(w.bounds.RecoveryS * float64(time.Second)))
+		acked := w.acked
+		w.run(3 * time.Second)
+		assert.Assert(t, w.acked > acked, "no order is acknowledged")
+		w.end()
+		assert.Equal(t, len(w.broken), 0, "%v", w.broken)
+	}
+}
--- a/internal/control/world_test.go
+++ b/internal/control/world_test.go
@@ -48,15 +48,31 @@
 	unclear    int
 	directory  int // answers
 	freshReads int
+
+	atAcknowledgement func()                         // what happens once, as the next order is acknowledged; nil: nothing
+	seedsOf           func(*controlMachine) []string // of a process that starts again with its disk
 }
 
 // link is the way from one machine to another. It draws by itself, so that the order in which a process sends to several others, which
 // is not fixed, changes nothing.
 type link struct {
 	random      *rand.Rand
-	lastArrival time.Time // of what was sent over a connection
+	lastArrival time.Time     // of what was sent over a connection
+	delay       time.Duration // on top of the usual one
+	resets      int           // of its connections: what was under way then is lost
+	held        []heldMessage // sent over a connection while the link was cut
+}
+
+// heldMessage is one that the sender's system sends again until the cut ends or it gives the connection up.
+type heldMessage struct {
+	kind    transport.Kind
+	payload []byte
+	sentAt  time.Time
 }
 
+// heldFor is how long that is: what waits in a queue and in the system's buffers of a process in service, together.
+const heldFor = 2 * time.Second
+
 func (w *world) linkOf(from, to *machine) *link {
 	pair := [2]int{from.number, to.number}
 	if w.links[pair] == nil {
@@ -107,6 +123,7 @@
 		},
 	}
 	w.ledger.versions = make(map[uint64]*version)
+	w.seedsOf = w.drawSeeds
 	for number := range options.zones {
 		w.zones = append(w.zones, fmt.Sprintf("zone-%d", number))
 	}
@@ -193,7 +210,7 @@
 		set.Zones[zone] = zone
 	}
 	for _, control := range w.controls[:min(3, len(w.controls))] {
-		set.Seeds = append(set.Seeds, fmt.Sprintf("%s:%d", control.address[:len(control.address)-5], controlPort))
+		set.Seeds = append(set.Seeds, control.controlAddress())
 	}
 	return set
 }
@@ -234,7 +251,10 @@
 	c.file = file
 	random := rand.New(rand.NewSource(w.random.Int63()))
 	set := w.settingsOf(c.machine, bootstrap)
-	set.Listen.Control = fmt.Sprintf("%s:%d", set.IP, controlPort)
+	set.Listen.Control = c.controlAddress()
+	if len(records) > 0 && !bootstrap {
+		set.Seeds = w.seedsOf(c)
+	}
 	c.process = newProcess(set, slog.New(slog.NewTextHandler(io.Discard, nil)), func() time.Time { return w.now }, random)
 	c.process.network = simulatedNetwork{w, c.machine, c.life}
 	c.process.disk = c
@@ -249,6 +269,22 @@
 	c.tick(c.life)
 }
 
+// drawSeeds are those of a process that starts again: as they were, or others, at times itself alone.
+func (w *world) drawSeeds(own *controlMachine) []string {
+	if w.random.Intn(3) > 0 {
+		return w.settingsOf(own.machine, false).Seeds
+	}
+	seeds := []string{own.controlAddress()}
+	for range w.random.Intn(3) {
+		seeds = append(seeds, w.anyControl().controlAddress())
+	}
+	return seeds
+}
+
+func (m *machine) controlAddress() string {
+	return fmt.Sprintf("%s:%d", m.address[:len(m.address)-5], controlPort)
+}
+
 func (c *controlMachine) tick(life int) {
 	if c.life != life {
 		return
@@ -376,7 +412,7 @@
 	if err != nil {
 		w.t.Fatal(err)
 	}
-	delay := time.Millisecond + time.Duration(way.random.Int63n(int64(4*time.Millisecond)))
+	delay := way.delay + time.Millisecond + time.Duration(way.random.Int63n(int64(4*time.Millisecond)))
 	if from.zone != to.zone {
 		delay += w.oneWay
 	}
@@ -387,7 +423,42 @@
 		}
 		way.lastArrival = at
 	}
-	w.events.At(at, func() { w.arrive(from, to, kind, payload) })
+	resets := way.resets
+	w.events.At(at, func() {
+		switch {
+		case way.resets != resets:
+		case ordered && (len(way.held) > 0 || w.cut[[2]int{from.number, to.number}]):
+			w.hold(from, to, heldMessage{kind: kind, payload: payload, sentAt: w.now})
+		default:
+			w.arrive(from, to, kind, payload)
+		}
+	})
+}
+
+// hold keeps what a cut holds up. Once the cut is over it arrives, in order, unless it has waited for too long by then.
+func (w *world) hold(from, to *machine, message heldMessage) {
+	way := w.linkOf(from, to)
+	way.held = append(way.held, message)
+	if len(way.held) > 1 {
+		return
+	}
+	life, resets := from.life, way.resets
+	var look func()
+	look = func() {
+		if w.cut[[2]int{from.number, to.number}] && w.now.Sub(way.held[0].sentAt) < heldFor {
+			w.after(20*time.Millisecond, look)
+			return
+		}
+		held := way.held
+		way.held = nil
+		if w.cut[[2]int{from.number, to.number}] || from.life != life || way.resets != resets {
+			return
+		}
+		for _, each := range held {
+			w.arrive(from, to, each.kind, each.payload)
+		}
+	}
+	w.after(20*time.Millisecond, look)
 }
 
 func (w *world) arrive(from, to *machine, kind transport.Kind, payload []byte) {
@@ -448,6 +519,9 @@
 func (w *world) heal() {
 	clear(w.cut)
 	w.loss = 0
+	for _, way := range w.links {
+		way.delay = 0
+	}
 	for _, m := range w.machines {
 		m.frozen = false
 		w.disturb(m)
--- a/internal/mutation/listed.go
+++ b/internal/mutation/listed.go
@@ -53,6 +53,12 @@
 			"\t\t\t\tcmp.Compare(promise.Installed, newest.Installed),\n", "", chainTests},
 		{"proposer: a member whose disk stalls is made head", propose,
 			"\t\t\t\tcompareFlags(newest.Impaired, promise.Impaired),\n", "", chainTests},
+		{"proposer: one that membership holds for gone is made a member", propose,
+			"\t\tcompareFlags(a.gone, b.gone),\n", "", chainTests},
+		{"proposer: one that membership holds for gone is made head", propose,
+			"\t\t\t\tcompareFlags(n.isGone(head.Identity), n.isGone(voter.Identity)),\n", "", chainTests},
+		{"proposer: one that membership holds for gone is supported", acceptor,
+			"\tif n.isGone(sender) {", "\tif false {", chainTests},
 	}
 }
 
@@ -229,6 +235,8 @@
 func controlMistakes() []mistake {
 	const process = "internal/control/process.go"
 	return []mistake{
+		{"seeds: a process that starts again does not look for the voters", process,
+			"\t\tif !slices.Contains(joined, voter.Address) {", "\t\tif false {", controlTests},
 		{"control: the feed says fresh while out of touch", process, "\tp.feed.SetFresh(fresh)\n", "\tp.feed.SetFresh(true)\n", controlTests},
 		{"control: instances expire while out of touch", process,
 			"\tp.instances.SetInTouch(now, fresh)\n", "\tp.instances.SetInTouch(now, true)\n", controlTests},
