A new member of membership goes on asking the seeds that are no members

Cause: a relay that started while all other control processes were down joined through the one that was up, which was cut off from the rest. Change: for the first seconds (20 probe periods) a member asks one absent seed each 200 ms, as before it has joined.

--- a/internal/swim/doc.go
+++ b/internal/swim/doc.go
@@ -23,7 +23,8 @@
 //
 // # Finding each other
 //
-// A new member asks one seed after the other, every 200 ms, until one answers with all it knows. Every few seconds a member
+// A new member asks one seed after the other, every 200 ms, until one answers with all it knows. For a few seconds it goes on to ask
+// those that are no members, since who answered may be cut off from the rest. Every few seconds a member
 // compares a digest of the live members with another one, mostly of its own zone. Where the digests differ, one sends a summary
 // of the members that it knows, about 16 bytes for each; the other answers with the states that it knows better and asks for
 // those that it lacks, so that only what differs is sent in full. The dead are kept for a while and pinged now and then, as are
--- a/internal/swim/exchange.go
+++ b/internal/swim/exchange.go
@@ -8,14 +8,23 @@
 	"wallflow/internal/swim/swimpb"
 )
 
-// join asks one seed after the other until one has answered.
+// join asks one seed after the other until one has answered. A new member goes on with those that are none: the one that answered may
+// itself be cut off from all others.
 func (n *Node) join(now time.Time) {
-	if n.joined || len(n.seeds) == 0 || now.Before(n.nextJoin) {
+	if len(n.seeds) == 0 || now.Before(n.nextJoin) || n.joined && now.Sub(n.started) >= n.timing.early {
 		return
 	}
 	n.nextJoin = now.Add(joinInterval)
 	n.nextSeed++
-	n.sendJoin(n.seeds[n.nextSeed%len(n.seeds)])
+	if seed := n.seeds[n.nextSeed%len(n.seeds)]; !n.joined || !n.isLiveAt(seed) {
+		n.sendJoin(seed)
+	}
+}
+
+// isLiveAt tells whether a live member has an address.
+func (n *Node) isLiveAt(address string) bool {
+	holder := n.table.byAddress[address]
+	return holder != nil && holder.Status.live()
 }
 
 // sendJoin asks a process to take this one in.
@@ -149,7 +158,7 @@
 		return ""
 	}
 	seed := n.seeds[n.random.IntN(len(n.seeds))]
-	if holder := n.table.byAddress[seed]; holder != nil && holder.Status.live() {
+	if n.isLiveAt(seed) {
 		return ""
 	}
 	return seed
--- a/internal/swim/node_test.go
+++ b/internal/swim/node_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -38,6 +39,43 @@
 	assert.Assert(t, took < 2*time.Second, "took %v", took)
 }
 
+// A member that starts while the only seed that is up is cut off from all others goes on asking the other seeds, and finds them soon after
+// they have come up.
+func TestJoinThroughASeedThatIsCutOff(t *testing.T) {
+	var worst time.Duration
+	for seed := range uint64(30) {
+		n := newNetwork(t, seed)
+		for range 6 {
+			n.add("tema")
+		}
+		n.seeds = []string{n.all[0].self.Address, n.all[1].self.Address, n.all[2].self.Address}
+		alone, late, joiner := n.all[0], n.all[1:5], n.all[5]
+		n.blocked = func(from, to *machine) bool {
+			return from == alone && slices.Contains(late, to) || to == alone && slices.Contains(late, from)
+		}
+		n.start(alone)
+		n.start(joiner)
+		_, found := n.runUntil(2*time.Second, func() bool {
+			_, known := joiner.node.Find(alone.self.Name)
+			return known
+		})
+		assert.Assert(t, found, "seed %d", seed)
+		for _, each := range late {
+			n.start(each)
+		}
+		took, ok := n.runUntil(5*time.Second, func() bool {
+			return !slices.ContainsFunc(late, func(each *machine) bool {
+				member, known := joiner.node.Find(each.self.Name)
+				return !known || member.Status != Alive
+			})
+		})
+		assert.Assert(t, ok, "seed %d", seed)
+		worst = max(worst, took)
+	}
+	assert.Assert(t, worst < time.Second, "took %v", worst)
+	t.Logf("%v at most", worst)
+}
+
 func TestDeathIsNoticedWithinAThirdOfTheBound(t *testing.T) {
 	const trials = 60
 	var total, worst time.Duration
