--- a/internal/control/world_actors_test.go
+++ b/internal/control/world_actors_test.go
@@ -169,6 +169,7 @@
 	if !w.inTouch(r.machine) {
 		return
 	}
+	w.checks++
 	if oldest := w.ledger.mustHold(w.now.Add(-w.bounds.ConfigApply())); r.generation < oldest {
 		w.fail("relay %d holds version %d, %d was acknowledged %v ago or more", r.number, r.generation, oldest, w.bounds.ConfigApply())
 	}
