A mutation survey that can't run its tests says so; a wiped disk counts as lost in walks

Cause: go run ./internal/mutation -survey took package folders without ./, no test ran, and each of the mistakes counted as found. Change: folders are put in the form that go test wants; a run that ends without a failed package is an error. Walks count a machine as lost until syncS after it came back without its disk.

--- a/internal/control/world_test.go
+++ b/internal/control/world_test.go
@@ -168,7 +168,7 @@
 			continue
 		}
 		harmed := !c.up || c.frozen || c.hanging || c.slow || c.disk.SyncError != nil || !slices.Contains(majority, c)
-		if harmed && !w.now.Before(w.wholeCoreUntil) {
+		if harmed && (c.wiped || !w.now.Before(w.wholeCoreUntil)) {
 			c.lostAt = w.now
 		}
 		if !c.lostAt.IsZero() && w.now.Sub(c.lostAt) < time.Duration(w.bounds.SyncS*float64(time.Second)) {
@@ -257,6 +257,7 @@
 	writing  *chain.Write
 	hanging  bool
 	gone     bool      // for good
+	wiped    bool      // it comes back without its disk
 	slow     bool      // its links delay everything
 	lostAt   time.Time // when it was last down, cut off or harmed
 	revision uint64    // the newest one known to be committed in this life
@@ -274,6 +275,9 @@
 	}
 	w := c.world
 	w.disturb(c.machine)
+	if c.wiped {
+		c.wiped, c.lostAt = false, w.now
+	}
 	c.up, c.life, c.writing, c.hanging, c.frozen, c.revision = true, c.life+1, nil, false, false, 0
 	c.disk.SyncError = nil
 	file, records, _, err := logfile.OpenOn(c.disk, worldFolder, logfile.Limits{})
@@ -395,6 +399,7 @@
 func (c *controlMachine) wipe() {
 	c.kill(true)
 	c.disk = simdisk.New()
+	c.wiped, c.lostAt = true, c.world.now
 }
 
 // simulatedNetwork is the network as one life of a process sees it.
--- a/internal/mutation/main.go
+++ b/internal/mutation/main.go
@@ -64,7 +64,10 @@
 // notFound is the verdict on a mistake that all tests pass with.
 const notFound = "NOT FOUND"
 
-var failedTest = regexp.MustCompile(`--- FAIL: (\S+)`)
+var (
+	failedTest    = regexp.MustCompile(`--- FAIL: (\S+)`)
+	failedPackage = regexp.MustCompile(`(?m)^FAIL\t`)
+)
 
 // try plants a mistake and runs the tests. The verdict names the first test that fails.
 func try(root string, each mistake) (string, error) {
@@ -99,6 +102,9 @@
 	if found := failedTest.FindSubmatch(output); found != nil {
 		return "found by " + string(found[1]), nil
 	}
+	if ctx.Err() == nil && !failedPackage.Match(output) {
+		return "", fmt.Errorf("the tests of %s could not be run: %s", strings.Join(each.packages, ", "), output)
+	}
 	return "found: the tests did not end well", nil
 }
 
--- a/internal/mutation/survey.go
+++ b/internal/mutation/survey.go
@@ -61,7 +61,7 @@
 				file:     relative,
 				old:      whole,
 				new:      "\n" + changed + "\n",
-				packages: []string{name},
+				packages: []string{"./" + filepath.ToSlash(filepath.Clean(name))},
 			})
 		}
 	}
