--- a/internal/config/diff_test.go
+++ b/internal/config/diff_test.go
@@ -93,3 +93,17 @@
 		config.Diff(before, after)
 	}
 }
+
+// A patch names no list in which nothing changed, and no kind of change that there is none of.
+func TestDiffNamesNoListWithoutAChange(t *testing.T) {
+	for _, each := range []struct{ name, before, after, patch string }{
+		{"an item more", `{"generation":1,"routes":[{"name":"a"}]}`, `{"generation":2,"routes":[{"name":"a"},{"name":"b"}]}`,
+			`{"generation":2,"upsert":{"routes":[{"name":"b"}]}}`},
+		{"an item less", `{"generation":1,"routes":[{"name":"a"},{"name":"b"}]}`, `{"generation":2,"routes":[{"name":"a"}]}`,
+			`{"generation":2,"delete":{"routes":["b"]}}`},
+	} {
+		patch, ok := config.Diff([]byte(each.before), []byte(each.after))
+		assert.Assert(t, ok, each.name)
+		assert.Equal(t, string(patch), each.patch, each.name)
+	}
+}
--- a/internal/config/scan_test.go
+++ b/internal/config/scan_test.go
@@ -114,3 +114,9 @@
 		assert.Equal(t, string(got), `{"1.0": [`+want+`]}`)
 	}
 }
+
+func TestNothingIsNeitherArrayNorObject(t *testing.T) {
+	assert.Assert(t, !isArray(nil) && !isObject(nil))
+	assert.Assert(t, isArray([]byte("[]")) && !isObject([]byte("[]")))
+	assert.Assert(t, isObject([]byte("{}")) && !isArray([]byte("{}")))
+}
--- a/internal/config/state_test.go
+++ b/internal/config/state_test.go
@@ -4,9 +4,11 @@
 	"fmt"
 	"testing"
 
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
 	"wallflow/internal/config"
+	"wallflow/internal/config/configpb"
 )
 
 func TestFirstConfiguration(t *testing.T) {
@@ -211,3 +213,21 @@
 		}
 	}
 }
+
+// A state that a build wrote before it noted when zones were evacuated is read as one in which that is not known.
+func TestStateOfAnEarlierBuildIsRead(t *testing.T) {
+	state := taken(t, config.EmptyState(), put(0, smallDocument(1, "a")))
+	for _, zone := range []string{"hall-a", "hall-b"} {
+		state = taken(t, state, config.Order{Kind: config.Evacuate, Zone: zone})
+	}
+	var message configpb.State
+	assert.NilError(t, proto.Unmarshal(state.Encode(), &message))
+	assert.Equal(t, len(message.EvacuatedAt), 2)
+	message.EvacuatedAt = nil
+	earlier, err := proto.Marshal(&message)
+	assert.NilError(t, err)
+	read, err := config.DecodeState(earlier)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, read.Evacuated(), []string{"hall-a", "hall-b"})
+	assert.Equal(t, read.Generation(), uint64(1))
+}
--- a/internal/distribution/distribution_test.go
+++ b/internal/distribution/distribution_test.go
@@ -479,3 +479,32 @@
 		assert.Equal(t, stateAt(relay, "1"), draining)
 	}
 }
+
+// Steps that overlap what is held already are applied from where they go on.
+func TestStepsThatOverlapWhatIsHeldAreApplied(t *testing.T) {
+	joined := func(document, patch []byte) ([]byte, error) {
+		return append(document[:len(document):len(document)], patch...), nil
+	}
+	s := NewSubscriber(SubscriberOptions{Self: "r", ApplyPatch: joined}, time.Unix(1000, 0))
+	s.config = ConfigState{Revision: 2, Document: []byte("two")}
+	step := func(base uint64, patch string) *feedpb.ConfigStep {
+		return &feedpb.ConfigStep{Base: base, Revision: base + 1, Generation: base + 1, Patch: []byte(patch)}
+	}
+	document, steps, problem := s.newDocument(&feedpb.ConfigUpdate{Revision: 4, DocumentHash: DocumentHash([]byte("two three four")), Steps: []*feedpb.ConfigStep{
+		step(1, " never"), step(2, " three"), step(3, " four"),
+	}})
+	assert.Assert(t, problem == nil)
+	assert.Equal(t, string(document), "two three four")
+	assert.Equal(t, len(steps), 2)
+}
+
+// Steps lead from one revision to another only if each goes on where the one before ends, and forward.
+func TestStepsFrom(t *testing.T) {
+	chain := []Step{{Base: 1, Revision: 2}, {Base: 2, Revision: 4}}
+	assert.Equal(t, len(stepsFrom(chain, 1, 4)), 2)
+	assert.Equal(t, len(stepsFrom(chain, 2, 4)), 1)
+	assert.Assert(t, stepsFrom(chain, 1, 2) == nil)
+	assert.Assert(t, stepsFrom(chain, 3, 4) == nil)
+	assert.Assert(t, stepsFrom([]Step{{Base: 1, Revision: 1}, {Base: 1, Revision: 2}}, 1, 2) == nil)
+	assert.Assert(t, stepsFrom([]Step{{Base: 1, Revision: 2}, {Base: 3, Revision: 4}}, 1, 4) == nil)
+}
--- a/internal/distribution/seek_test.go
+++ b/internal/distribution/seek_test.go
@@ -103,3 +103,52 @@
 	assert.Equal(t, stateAt(relay, "9"), gone)
 	assert.Equal(t, stateAt(relay, "1"), ready)
 }
+
+// TestOnlyAFailureOfTheSameTroubleCountsTwice has a source fail again soon after its back-off, and long after it.
+func TestOnlyAFailureOfTheSameTroubleCountsTwice(t *testing.T) {
+	w, relay := calmWorld()
+	relay.fail(w.now, "c2")
+	assert.Equal(t, relay.failures["c2"].backOff, firstBackOff)
+	w.now = w.now.Add(firstBackOff * 3 / 2)
+	relay.fail(w.now, "c2")
+	assert.Equal(t, relay.failures["c2"].backOff, 2*firstBackOff)
+	w.now = w.now.Add(4 * firstBackOff)
+	relay.fail(w.now, "c2")
+	assert.Equal(t, relay.failures["c2"].backOff, firstBackOff)
+}
+
+// TestBetterSource compares a source that has answered with a current one that is sound.
+func TestBetterSource(t *testing.T) {
+	w, relay := calmWorld()
+	relay.ordered = []string{"c1", "c2"}
+	for _, each := range []struct {
+		name                     string
+		current, answered        string
+		currentFills, answerFill bool
+		better                   bool
+	}{
+		{"nearer and whole", "c2", "c1", false, false, true},
+		{"nearer and still filling", "c2", "c1", false, true, false},
+		{"farther and whole", "c1", "c2", false, false, false},
+		{"the same once more", "c1", "c1", false, false, false},
+		{"farther and whole, where the current one fills", "c1", "c2", true, false, true},
+		{"farther and filling, where the current one fills", "c1", "c2", true, true, false},
+	} {
+		relay.current = &source{address: each.current, fresh: true, heardAt: w.now, complete: !each.currentFills}
+		answered := &source{address: each.answered, fresh: true, heardAt: w.now, complete: !each.answerFill}
+		assert.Equal(t, relay.isBetter(w.now, answered), each.better, each.name)
+	}
+}
+
+// TestWordOfTheSourceEndsItsFailures has a source that failed before speak again.
+func TestWordOfTheSourceEndsItsFailures(t *testing.T) {
+	w, relay := calmWorld()
+	current := relay.current.address
+	relay.fail(w.now, current)
+	relay.fail(w.now, "other")
+	w.run(time.Second)
+	_, failed := relay.failures[current]
+	assert.Assert(t, !failed)
+	_, failed = relay.failures["other"]
+	assert.Assert(t, failed)
+}
--- a/internal/registry/merge_test.go
+++ b/internal/registry/merge_test.go
@@ -327,3 +327,13 @@
 	pass(at(700), again, one, again.Tick(at(700)).Broadcast)
 	assert.Assert(t, one.Heartbeat(at(800), heartbeatOf("i", 3).draining()).NeedsReplica)
 }
+
+// A process that is told of an instance which nobody has heard of for a while holds it silent, not ready and not gone.
+func TestInstanceToldOfAfterASilenceIsSilent(t *testing.T) {
+	one, two := pair(at(0))
+	change := one.Heartbeat(at(0), heartbeatOf("i", 1))
+	later := at(0).Add(2*one.options.SilentAfter - time.Millisecond)
+	one.SetInTouch(later, true)
+	pass(later, one, two, one.Replicate(later, change).Message)
+	assert.Equal(t, stateOf(t, two, "i"), StateSilent)
+}
