--- a/internal/distribution/distribution_test.go
+++ b/internal/distribution/distribution_test.go
@@ -508,3 +508,16 @@
 	assert.Assert(t, stepsFrom([]Step{{Base: 1, Revision: 1}, {Base: 1, Revision: 2}}, 1, 2) == nil)
 	assert.Assert(t, stepsFrom([]Step{{Base: 1, Revision: 2}, {Base: 3, Revision: 4}}, 1, 4) == nil)
 }
+
+// A publisher that is handed a state it has, or an older one, tells nobody anything.
+func TestStateThatIsNotNewerIsNotPublished(t *testing.T) {
+	w, _ := calmWorld()
+	publisher := w.publishers["c1"]
+	held := publisher.config.state.Revision
+	assert.Assert(t, held > 0)
+	for _, revision := range []uint64{held, held - 1} {
+		output := publisher.SetConfig(w.now, wholeUpdate(revision, "other"))
+		assert.Equal(t, len(output.Sends), 0)
+		assert.Equal(t, publisher.config.state.Revision, held)
+	}
+}
--- a/internal/registry/merge_test.go
+++ b/internal/registry/merge_test.go
@@ -337,3 +337,19 @@
 	pass(later, one, two, one.Replicate(later, change).Message)
 	assert.Equal(t, stateOf(t, two, "i"), StateSilent)
 }
+
+// A departure that a majority holds is still sent to those that have not acknowledged it.
+func TestSafeChangeIsSentToThoseThatLackIt(t *testing.T) {
+	tables := fiveTables()
+	one := tables["c1"]
+	drain := one.Replicate(at(0), one.Heartbeat(at(0), heartbeatOf("i", 1).draining()))
+	for _, name := range []string{"c2", "c5"} {
+		pass(at(10), one, tables[name], drain.Message)
+	}
+	assert.Assert(t, one.Acked(drain.ID))
+	lacking := make(map[string]bool)
+	for _, send := range one.Tick(at(300)).Sends {
+		lacking[send.To] = true
+	}
+	assert.DeepEqual(t, lacking, map[string]bool{"c3": true, "c4": true})
+}
