--- a/internal/chain/feed_test.go
+++ b/internal/chain/feed_test.go
@@ -1,6 +1,7 @@
 package chain
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -212,3 +213,27 @@
 		s.finish("without it")
 	}
 }
+
+// Whoever follows the tail is sent each entry once while nothing is lost.
+func TestFollowerIsSentEachEntryOnce(t *testing.T) {
+	s, p := voterOutsideChain(t, 3)
+	sent := make(map[uint64]int)
+	s.sent = func(send Send) {
+		for _, entry := range send.Message.GetFeed().GetEntries() {
+			if send.To == p.self.Address {
+				sent[entry.Position]++
+			}
+		}
+	}
+	_, before := p.node.Committed()
+	const changes = 20
+	for number := range changes {
+		s.write(fmt.Sprint("change ", number))
+	}
+	s.run(2 * time.Second)
+	_, after := p.node.Committed()
+	assert.Equal(t, after, before+changes)
+	for position := before + 1; position <= after; position++ {
+		assert.Assert(t, sent[position] >= 1 && sent[position] <= 2, "entry %d is sent %d times", position, sent[position]) // 2: a question crosses
+	}
+}
--- a/internal/chain/simulation_test.go
+++ b/internal/chain/simulation_test.go
@@ -31,6 +31,7 @@
 	decode    Decoder
 	soft      bool                 // what is broken is noted, not fatal
 	watch     func(*process)       // after every call of a node
+	sent      func(Send)           // every message
 	executed  int                  // events so far
 	decided   map[uint64]time.Time // when the first process learned the view of an epoch
 	before    func(step int)       // every event
@@ -432,6 +433,9 @@
 }
 
 func (s *simulation) deliver(from *process, send Send) {
+	if s.sent != nil {
+		s.sent(send)
+	}
 	encoded, err := proto.Marshal(send.Message)
 	if err != nil {
 		s.t.Fatal(err)
