Support a member that membership lost where nothing else works

Two that hold each other for gone, as they may for some seconds after a cut, with the third one dead, stood still for as long. Change: such a process is supported where no epoch has been confirmed for 2 s.

--- a/internal/chain/acceptor.go
+++ b/internal/chain/acceptor.go
@@ -108,9 +108,9 @@
 	n.sendAfter(sender, message, record)
 }
 
-// receiveInquiry supports another's proposal if it is seen to be needed here too, and if its sender is not held dead: one that
-// membership has lost would take itself into each view that it proposes, and be dropped again. This keeps a process that hears nobody,
-// or alone holds another for dead, from stopping a chain that works.
+// receiveInquiry supports another's proposal if it is seen to be needed here too. One that membership has lost would take itself into each
+// view that it proposes, and be dropped again: it is supported only where nothing has worked for longer. This keeps a process that hears
+// nobody, or alone holds another for dead, from stopping a chain that works.
 func (n *Node) receiveInquiry(sender Identity, inquiry *chainpb.Inquiry) {
 	if !n.decides(inquiry.Instance) {
 		return
@@ -143,7 +143,7 @@
 		return true
 	}
 	if n.isGone(sender) {
-		return false
+		return n.now.Sub(n.confirmedAt) >= quietBeforeGone
 	}
 	if reason == chainpb.Reason_REASON_STUCK && n.view.Place(sender) >= 0 {
 		return true
--- a/internal/chain/failure_test.go
+++ b/internal/chain/failure_test.go
@@ -365,3 +365,21 @@
 		s.finish("without it")
 	}
 }
+
+// Two members that membership holds for gone, each at the other, as it may for a moment after a cut, are all that is left. They go on: nobody
+// else would.
+func TestMembersThatMembershipLostGoOnIfNobodyElseDoes(t *testing.T) {
+	for seed := range int64(12) {
+		s := settled(t, seed, 3)
+		left := []*process{s.processes[(seed+1)%3], s.processes[(seed+2)%3]}
+		s.processes[seed%3].kill(false)
+		for _, p := range left {
+			p.unseen = true
+		}
+		s.run(simulatedDeath)
+		took := s.until(6*time.Second, s.active)
+		assert.Assert(t, took < 4*time.Second, "seed %d: %v", seed, took)
+		s.write("by the two")
+		s.check()
+	}
+}
--- a/internal/chain/types.go
+++ b/internal/chain/types.go
@@ -141,6 +141,7 @@
 	heartbeatInterval   = 300 * time.Millisecond  // from head to tail, and digests to learners
 	freshFor            = time.Second             // how long a confirmation of the epoch holds, from when it was asked for
 	quietBeforeVote     = 600 * time.Millisecond  // a voter that heard no confirmation for so long supports a new view
+	quietBeforeGone     = 2 * time.Second         // the same where membership holds the proposer for gone
 	syncRetry           = 200 * time.Millisecond  // a member asks its predecessor again
 	startGrace          = 700 * time.Millisecond  // after a start, nobody is held dead yet
 	foundingWait        = 1500 * time.Millisecond // for the last of the seeds, when a majority is there
--- a/internal/mutation/listed.go
+++ b/internal/mutation/listed.go
@@ -59,6 +59,8 @@
 			"\t\t\t\tcompareFlags(n.isGone(head.Identity), n.isGone(voter.Identity)),\n", "", chainTests},
 		{"proposer: one that membership holds for gone is supported", acceptor,
 			"\tif n.isGone(sender) {", "\tif false {", chainTests},
+		{"proposer: one that membership holds for gone is never supported", acceptor,
+			"return n.now.Sub(n.confirmedAt) >= quietBeforeGone", "return false", chainTests},
 	}
 }
 
