A subscriber's question does not push to all what is gathered

Cause: at 300 machines control has no processor time left in a storm. Logs of what control sends: 40,845 feed messages to some 50 relays in the first 10 s, 80 a second to each, where changes that are not urgent are gathered for 50 ms. Every question of a subscriber flushed what was gathered to all others first. Change: the question is answered with what is gathered as well, and the push goes out when it is due.

--- a/internal/distribution/answer.go
+++ b/internal/distribution/answer.go
@@ -20,11 +20,9 @@
 		return Output{}
 	}
 	p.raiseToken(request)
-	output := p.flush(now) // before the newcomer counts as a subscriber: its answer holds this as well
 	_, renewed := p.subscribers[from]
 	p.subscribers[from] = now
-	output.join(p.answer(now, from, request, renewed))
-	return output
+	return p.answer(now, from, request, renewed)
 }
 
 // raiseToken puts a home's token above one that the subscriber saw from another home.
@@ -37,7 +35,7 @@
 	}
 }
 
-// answer sends a subscriber what it lacks. One that renews and is where the publisher stands gets no answer. One that lags and lacks
+// answer sends a subscriber what it lacks, with what is gathered for the next push, which then changes nothing there. One that renews and is where the publisher stands gets no answer. One that lags and lacks
 // nothing does: it has to learn that it lags no more.
 func (p *Publisher) answer(now time.Time, from string, request *feedpb.Subscribe, renewed bool) Output {
 	config := p.config.since(now, request.GetRevision())
--- a/internal/distribution/distribution_test.go
+++ b/internal/distribution/distribution_test.go
@@ -521,3 +521,28 @@
 		assert.Equal(t, publisher.config.state.Revision, held)
 	}
 }
+
+// Changes that are not urgent are gathered also while many subscribers ask for something: each question is answered, and no question has the
+// changes sent to all.
+func TestQuestionsDoNotSendWhatIsGathered(t *testing.T) {
+	const subscribers, rounds = 50, 20
+	now := time.Unix(1000, 0)
+	p := NewPublisher("life", now)
+	ask := func(subscriber int) Output {
+		holdsNothing := &feedpb.Subscribe{Buckets: make([]uint64, bucketCount)}
+		return p.Receive(now, fmt.Sprint("r", subscriber), &feedpb.FeedMessage{Subscribe: holdsNothing})
+	}
+	for subscriber := range subscribers {
+		ask(subscriber)
+	}
+	pushed := 0
+	for round := range rounds {
+		now = now.Add(gatherFor / 10)
+		pushed += len(p.SetInstances(now, list(instanceOf(fmt.Sprint(round), ready, 1))).Sends)
+		sends := ask(round % subscribers).Sends
+		pushed += len(sends) - 1
+		told := sends[len(sends)-1].Message.GetUpdate().GetInstances()
+		assert.Equal(t, len(told), round+1, "the answer holds what is gathered as well")
+	}
+	assert.Assert(t, pushed <= subscribers*(rounds/10+1), "%d messages to %d subscribers in %d tenths of the time of gathering", pushed, subscribers, rounds)
+}
