--- a/internal/control/socket_caller_test.go
+++ b/internal/control/socket_caller_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -89,8 +91,9 @@
 // silent holds that nothing more comes on a connection before it ends.
 func (c *caller) silent() {
 	c.t.Helper()
-	rest, _ := io.ReadAll(c.reader)
+	rest, err := io.ReadAll(c.reader)
 	assert.Equal(c.t, string(rest), "")
+	assert.Assert(c.t, !errors.Is(err, os.ErrDeadlineExceeded), "the connection does not end")
 }
 
 func generationOf(t *testing.T, body []byte) uint64 {
