--- a/internal/trial/main_test.go
+++ b/internal/trial/main_test.go
@@ -49,6 +49,10 @@
 // change is one text put in the place of another in a source file, in a build of the test alone.
 type change struct{ file, old, new string }
 
+// machine is shared by builds and by first plays, which run side by side. A play is repeated only because the machine was too slow for
+// it, so that the repeat has it for itself.
+var machine sync.RWMutex
+
 // relayProgram builds the relay, with changes to its text that are nowhere but in this build.
 func relayProgram(t *testing.T, name string, changes ...change) string {
 	t.Helper()
@@ -110,7 +114,10 @@
 	path := filepath.Join(built.dir, name)
 	build := exec.Command("go", "build", "-buildvcs=false", "-overlay", file, "-o", path, source)
 	build.Dir = root
-	if out, err := build.CombinedOutput(); err != nil {
+	machine.RLock()
+	out, err := build.CombinedOutput()
+	machine.RUnlock()
+	if err != nil {
 		t.Fatalf("build %s: %v\n%s", name, err, out)
 	}
 	built.paths[name] = path
@@ -120,6 +127,20 @@
 // playsMost is how often a trial is played that the machine was too slow for. It says nothing then, either way.
 const playsMost = 6
 
+// playShared plays a trial beside others and beside builds.
+func playShared(sc *Scenario, opts Options) (*Result, error) {
+	machine.RLock()
+	defer machine.RUnlock()
+	return Run(context.Background(), sc, opts)
+}
+
+// playAlone plays a trial once all others of this process have ended, and holds back those that have not begun.
+func playAlone(sc *Scenario, opts Options) (*Result, error) {
+	machine.Lock()
+	defer machine.Unlock()
+	return Run(context.Background(), sc, opts)
+}
+
 // mustPlay plays until a trial counts.
 func mustPlay(t *testing.T, scenario string, opts Options) *Result {
 	t.Helper()
@@ -131,11 +152,9 @@
 	if sc.Lists > 0 && opts.Program == "" {
 		opts.Program = listProgram(t, "lists")
 	}
-	for n := range playsMost {
-		if n > 0 {
-			opts.Dir = t.TempDir() // a trial begins with nothing
-		}
-		res, err := Run(context.Background(), sc, opts)
+	play := playShared
+	for range playsMost {
+		res, err := play(sc, opts)
 		if err == nil {
 			return res
 		}
@@ -143,6 +162,8 @@
 			t.Fatal(err)
 		}
 		t.Log(err)
+		opts.Dir = t.TempDir() // a trial begins with nothing
+		play = playAlone
 	}
 	t.Fatalf("this machine was too slow for it %d times", playsMost)
 	return nil
