Drop two dead voters of an odd number

Cause: two machines replaced at once, as planned, left five voters, two of them gone for good. A dead voter was dropped from an even number only, so that both stayed for ever: the next loss left two of five, and orders stood still; with its disk lost, for good. Two replacements one after the other were right already.

Change: superfluous drops a dead voter of an odd number too where a second one is dead: the majority stays as it is with the first removal and shrinks with the second. One dead voter of an odd number stays until it is replaced, as before.

--- a/internal/chain/removal_test.go
+++ b/internal/chain/removal_test.go
@@ -39,6 +39,44 @@
 	}
 }
 
+// Two machines are replaced at once as planned: with both successors five vote, and the two that left for good are dropped one after the
+// other. Without that, two of the living three would have to be there for ever after.
+func TestTwoPlannedReplacementsAtOnceLeaveNoDeadVoter(t *testing.T) {
+	for seed := range int64(20) {
+		s := settled(t, seed, 3)
+		former := []*process{s.processes[seed%3], s.processes[(seed+1)%3]}
+		stays := s.processes[(seed+2)%3]
+		for _, each := range former {
+			successor := s.addProcess(4 + each.number)
+			successor.self.Zone, successor.self.Region = each.self.Zone, each.self.Region
+			successor.start(false)
+		}
+		s.until(8*time.Second, func() bool { return len(s.newestView().Voters) == 5 && s.active() })
+		var left []Identity
+		for _, each := range former {
+			left = append(left, each.node.Identity())
+			each.carryOut(each.node.Leave(s.now))
+		}
+		s.until(leaveBound, func() bool { return !former[0].node.InChain() && !former[1].node.InChain() })
+		for _, each := range former {
+			each.kill(false)
+		}
+		s.processes = append([]*process{stays}, s.processes[3:]...)
+		s.until(12*time.Second, func() bool {
+			view := s.newestView()
+			_, first := view.Voter(left[0])
+			_, second := view.Voter(left[1])
+			return !first && !second && s.active()
+		})
+		assert.Equal(t, len(s.newestView().Voters), 3)
+		s.write("before")
+		s.processes[1].kill(true)
+		s.run(5 * time.Second)
+		s.write("with one lost")
+		s.finish("before", "with one lost")
+	}
+}
+
 // With no more voters than the loss that is to be borne asks for, a dead one waits for its replacement.
 func TestDeadVoterThatIsNeededStays(t *testing.T) {
 	s := settled(t, 1, 3)
--- a/internal/chain/voters.go
+++ b/internal/chain/voters.go
@@ -142,20 +142,26 @@
 	})
 }
 
-// superfluous finds a voter that is dead for long and outside the chain, where an even number votes and enough stay without it: its
-// removal lowers the majority that the living have to make up. With an odd number it would not, and one that waits for its
-// replacement stays a voter, since with fewer the loss of the next one could not be borne.
+// superfluous finds a voter that is dead for long and outside the chain, where enough stay without it and its removal brings the
+// living nearer to bearing the next loss: with an even number of voters the majority shrinks by one, with an odd one it does once
+// another dead voter is removed after it. The only dead one of an odd number stays a voter until it is replaced: without it the
+// majority would be as large, and it could not help to make it up when it returns.
 func (n *Node) superfluous() (Member, bool) {
-	if len(n.view.Voters)%2 != 0 || len(n.view.Voters) <= n.leastVoters() {
+	if len(n.view.Voters) <= n.leastVoters() {
 		return Member{}, false
 	}
+	var removable []Member
 	for _, voter := range n.view.Voters {
 		since, dead := n.membership.deadSince[voter.Identity]
 		if dead && n.now.Sub(since) >= voterDead && n.view.Place(voter.Identity) < 0 {
-			return voter, true
+			removable = append(removable, voter)
 		}
 	}
-	return Member{}, false
+	needed := 1 + len(n.view.Voters)%2
+	if len(removable) < needed {
+		return Member{}, false
+	}
+	return removable[0], true
 }
 
 // leastVoters is the number of voters of which as many as may be lost at once leave a majority.
