Replace two control machines at once in the walks

Change: replaceTwo takes two machines away at once, in order (both successors first, both told to stop at the same moment) or lost where two are to be borne. A process that starts has those for seeds that were not taken away, as an operator would set them.

--- a/internal/control/world_test.go
+++ b/internal/control/world_test.go
@@ -241,8 +241,11 @@
 	for _, zone := range w.zones {
 		set.Zones[zone] = zone
 	}
-	for _, control := range w.controls[:min(3, len(w.controls))] {
-		set.Seeds = append(set.Seeds, control.controlAddress())
+	const seeds = 3
+	for _, control := range w.controls {
+		if !control.gone && len(set.Seeds) < seeds {
+			set.Seeds = append(set.Seeds, control.controlAddress())
+		}
 	}
 	return set
 }
--- a/internal/control/world_trouble_test.go
+++ b/internal/control/world_trouble_test.go
@@ -92,6 +92,38 @@
 	w.after(w.within(3*time.Second), come)
 }
 
+// replaceTogether replaces two control machines at once. Where two are to be borne they are lost at times; as planned, both successors
+// come first, and both that go are told to stop at the same moment. One that could not leave in order stays.
+func (w *world) replaceTogether() {
+	first, second := w.anyControl(), w.anyControl()
+	if first == second {
+		return
+	}
+	w.replaced += 2
+	come := func() {
+		w.addControl(first.zone).start(false)
+		w.addControl(second.zone).start(false)
+	}
+	if w.lossesBorne() > 1 && w.random.Intn(2) == 0 {
+		for _, c := range []*controlMachine{first, second} {
+			c.kill(true)
+			c.gone = true
+		}
+		w.after(w.within(3*time.Second), come)
+		return
+	}
+	come()
+	w.after(2*time.Second+w.within(3*time.Second), func() {
+		for _, c := range []*controlMachine{first, second} {
+			w.stop(c, func(left bool) {
+				if c.gone = left; !left {
+					c.start(false)
+				}
+			})
+		}
+	})
+}
+
 // troubleName is the name of the function that brings a trouble about.
 func troubleName(happen func(time.Duration)) string {
 	name := runtime.FuncForPC(reflect.ValueOf(happen).Pointer()).Name()
@@ -104,7 +136,7 @@
 		w.killOne, w.killOne, w.losePowerOfOne, w.stopOne, w.stopOne,
 		w.cutOne, w.cutOne, w.cutOne, w.cutOne, w.cutOne, w.split, w.join, w.join, w.join, w.join,
 		w.loseDisks, w.loseDisks, w.loseDisksAndPower, w.strikeAtAcknowledgement, w.leaveBehind, w.relieve, w.everythingDown,
-		w.hangDisk, w.failDisk, w.freezeOne, w.slowLinks, w.resetConnections, w.replaceOne,
+		w.hangDisk, w.failDisk, w.freezeOne, w.slowLinks, w.resetConnections, w.replaceOne, w.replaceTwo,
 		w.killRelay, w.cutRelay, w.drainEndpoint, w.addEndpointLater, w.loseDatagrams,
 	}
 	happen := troubles[w.random.Intn(len(troubles))]
@@ -127,25 +159,30 @@
 // stopOne tells a process to end, which leaves the chain in order first, and starts it again.
 func (w *world) stopOne(back time.Duration) {
 	c := w.anyControl()
+	w.stop(c, func(bool) { w.after(back, func() { c.start(false) }) })
+}
+
+// stop tells a process that is up to end, and calls ended once it has: whether it was out of the chain by then.
+func (w *world) stop(c *controlMachine, ended func(left bool)) {
 	if !c.up || c.frozen {
 		return
 	}
 	w.disturb(c.machine)
 	life := c.life
 	c.process.carryOut(c.process.chain.Leave(w.now))
-	gone := func() {
+	end := func(left bool) {
 		if c.life == life {
 			c.kill(false)
-			w.after(back, func() { c.start(false) })
+			ended(left)
 		}
 	}
 	w.poll(retireWithin, func() bool {
 		if c.life == life && c.process.chain.InChain() {
 			return false
 		}
-		gone()
+		end(true)
 		return true
-	}, gone)
+	}, func() { end(false) })
 }
 
 // cutOne cuts a control process off in one of the ways that there are.
@@ -170,15 +207,18 @@
 	}
 }
 
-// lossesAllowed draws how many disks may be lost at once: as many as are to be borne, where a majority stays.
-func (w *world) lossesAllowed() int {
+// lossesAllowed draws how many disks may be lost at once.
+func (w *world) lossesAllowed() int { return 1 + w.random.Intn(w.lossesBorne()) }
+
+// lossesBorne is how many machines may be lost at once: as many as are to be borne, where a majority stays.
+func (w *world) lossesBorne() int {
 	present := 0
 	for _, c := range w.controls {
 		if !c.gone {
 			present++
 		}
 	}
-	return 1 + w.random.Intn(min(w.tolerate, max(1, (present-1)/2)))
+	return min(w.tolerate, max(1, (present-1)/2))
 }
 
 // wipeSome takes the disks of so many control machines away.
@@ -352,6 +392,12 @@
 	}
 }
 
+func (w *world) replaceTwo(time.Duration) {
+	if w.calm() && w.replaced < 2 {
+		w.replaceTogether()
+	}
+}
+
 func (w *world) anyRelay() *relayMachine { return w.relays[w.random.Intn(len(w.relays))] }
 
 func (w *world) killRelay(back time.Duration) {
