Support no proposal of a process that is held for gone, promised or not

The test allowed two views on lucky seeds.

Change: whether the proposer is held for gone is asked before whether there is a promise.

--- a/internal/chain/acceptor.go
+++ b/internal/chain/acceptor.go
@@ -139,12 +139,15 @@
 }
 
 func (n *Node) supports(sender Identity, reason chainpb.Reason) bool {
-	if sender == n.self.Identity || n.promised() {
+	if sender == n.self.Identity {
 		return true
 	}
 	if n.isGone(sender) {
 		return n.now.Sub(n.confirmedAt) >= quietBeforeGone
 	}
+	if n.promised() {
+		return true
+	}
 	if reason == chainpb.Reason_REASON_STUCK && n.view.Place(sender) >= 0 {
 		return true
 	}
--- a/internal/chain/failure_test.go
+++ b/internal/chain/failure_test.go
@@ -346,7 +346,7 @@
 // A member whose membership has lost all others, and that all others hold for gone, can still talk to them. It stops nothing: they go on
 // without it, and support no view that it proposes.
 func TestMemberThatMembershipLostStopsNothing(t *testing.T) {
-	for seed := range int64(12) {
+	for seed := range int64(40) {
 		s := settled(t, seed, 5)
 		members, _ := (&walk{simulation: s}).chainAndRest()
 		lost := members[int(seed)%len(members)]
@@ -356,7 +356,7 @@
 			return s.newestView().Place(lost.node.Identity()) < 0 && s.active()
 		})
 		epoch := s.newestView().Epoch
-		assert.Assert(t, epoch <= began+2, "seed %d: from view %d to %d until it was left out", seed, began, epoch)
+		assert.Equal(t, epoch, began+1, "seed %d: the view that left it out", seed)
 		s.write("without it")
 		s.run(5 * time.Second)
 		assert.Assert(t, s.newestView().Epoch <= epoch+1, "seed %d: from view %d to %d", seed, epoch, s.newestView().Epoch)
