Confirm a new epoch at once, and say so to processes outside the chain

Cause: the first heartbeats of an epoch meet members that have not installed it, and are lost; the next follow after 300 ms. What processes outside the chain ask meanwhile is answered as not confirmed, and asked again after another 300 ms.

Change: the head sends a heartbeat as soon as the whole chain has installed the epoch; the tail answers the questions at hand once it hears that the epoch is confirmed. When a question was sent counts as before.

--- a/internal/chain/failure_test.go
+++ b/internal/chain/failure_test.go
@@ -247,16 +247,37 @@
 		}
 		taken := false
 		s.processes[large[0]].submit("large", func(answer Answer) { taken = answer.Known })
-		s.run(time.Second)
+		longest := s.longestNotFresh(6*time.Second, large)
 		assert.Assert(t, taken)
-		for _, number := range large {
-			assert.Assert(t, s.processes[number].node.Fresh(s.now))
+		assert.Assert(t, longest <= 500*time.Millisecond, "seed %d: %v", seed, longest)
+		assert.Equal(t, len(s.newestView().Voters), len(large), "those cut off are no voters any more")
+		for _, number := range small {
+			assert.Assert(t, !s.processes[number].node.Fresh(s.now))
 		}
 		clear(s.trouble.cut)
+		s.run(8 * time.Second)
+		assert.Equal(t, len(s.newestView().Voters), 5, "they vote again")
 		s.finish("large")
 	}
 }
 
+// longestNotFresh lets time pass, and returns for how long at most one of some processes did not hold its epoch for confirmed.
+func (s *simulation) longestNotFresh(duration time.Duration, numbers []int) time.Duration {
+	longest, freshAt := time.Duration(0), make(map[int]time.Time)
+	for _, number := range numbers {
+		freshAt[number] = s.now
+	}
+	for end := s.now.Add(duration); s.now.Before(end); s.run(5 * time.Millisecond) {
+		for _, number := range numbers {
+			if s.processes[number].node.Fresh(s.now) {
+				freshAt[number] = s.now
+			}
+			longest = max(longest, s.now.Sub(freshAt[number]))
+		}
+	}
+	return longest
+}
+
 // A disk hangs, fails or is slow: the member leaves the chain in less than a third of the bound for answers, and comes back when the
 // disk works again.
 func TestDiskTrouble(t *testing.T) {
--- a/internal/chain/heartbeat.go
+++ b/internal/chain/heartbeat.go
@@ -77,8 +77,12 @@
 	if !n.serving() {
 		return
 	}
+	first := n.confirmedEpoch != n.view.Epoch
 	n.confirm(confirm.Heartbeat)
 	n.passConfirm(confirm.Heartbeat)
+	if first && n.isTail() {
+		n.feedDigests() // the followers' questions came before the epoch was confirmed here
+	}
 }
 
 // passConfirm tells the rest of the chain that a heartbeat came back.
--- a/internal/chain/replicate.go
+++ b/internal/chain/replicate.go
@@ -147,11 +147,15 @@
 
 // headAcknowledged notes at the head that the whole chain is installed, and how far it is.
 func (n *Node) headAcknowledged(heartbeat uint64) {
-	if n.activeSince.IsZero() {
+	first := n.activeSince.IsZero()
+	if first {
 		n.activeSince = n.now
 	}
 	if n.log.committed == n.log.lastPosition() {
 		n.entryWaits = time.Time{}
 	}
 	n.heartbeatReturned(heartbeat)
+	if first && n.confirmedEpoch != n.view.Epoch {
+		n.sendHeartbeat() // those before met members that had not installed the epoch yet
+	}
 }
