--- a/internal/chain/heartbeat_test.go
+++ b/internal/chain/heartbeat_test.go
@@ -1,6 +1,7 @@
 package chain
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -59,3 +60,24 @@
 	receive(confirmMessage(first))
 	assert.Assert(t, !tail.node.Fresh(s.now))
 }
+
+// After a change of the chain a process outside of it holds the new epoch for confirmed as soon as it may: what it asked before the tail
+// knew is answered once the tail knows.
+func TestProcessOutsideTheChainIsConfirmedAtOnce(t *testing.T) {
+	longest := time.Duration(0)
+	for seed := range int64(20) {
+		s := settled(t, seed, 5)
+		members, rest := (&walk{simulation: s}).chainAndRest()
+		members[2].carryOut(members[2].node.Leave(s.now))
+		s.until(leaveBound, func() bool { return !members[2].node.InChain() })
+		outside := slices.DeleteFunc(rest, func(p *process) bool { return p.node.InChain() })
+		tail := s.byIdentity(s.newestView().Tail())
+		confirmed := func(p *process) bool { return p.node.confirmedEpoch == s.newestView().Epoch }
+		s.until(2*time.Second, func() bool { return confirmed(tail) })
+		for _, p := range outside {
+			longest = max(longest, s.until(time.Second, func() bool { return confirmed(p) }))
+		}
+	}
+	t.Logf("confirmed %v after the tail at most", longest)
+	assert.Assert(t, longest < heartbeatInterval/2)
+}
--- a/internal/chain/removal_test.go
+++ b/internal/chain/removal_test.go
@@ -77,6 +77,18 @@
 	}
 }
 
+// One dead voter of five is waited for: without it the majority would be as large, and it could not help to make it up when it is back.
+func TestOneDeadVoterOfAnOddNumberStays(t *testing.T) {
+	s := settled(t, 1, 5)
+	s.processes[4].kill(true)
+	s.run(10 * time.Second)
+	assert.Equal(t, len(s.newestView().Voters), 5)
+	s.processes[3].kill(true)
+	s.until(8*time.Second, func() bool { return len(s.newestView().Voters) == 3 && s.active() })
+	s.write("with two of five")
+	s.finish("with two of five")
+}
+
 // With no more voters than the loss that is to be borne asks for, a dead one waits for its replacement.
 func TestDeadVoterThatIsNeededStays(t *testing.T) {
 	s := settled(t, 1, 3)
