Draw the bounds of each walk from the range of all deployments

Need: all walks ran with the bounds of one deployment; others are to be served by their settings alone.

Change: drawBounds draws contact, acknowledgement, sync, drain, configuration, skew and recovery each by itself; the pauses of a walk follow the drawn contact bound, so that the directory is asked as often as before.

--- a/internal/control/world_test.go
+++ b/internal/control/world_test.go
@@ -125,11 +125,8 @@
 		links:    make(map[[2]int]*link),
 		oneWay:   time.Duration(1+seed%3*25) * time.Millisecond,
 		tolerate: options.tolerate,
-		bounds: settings.Bounds{
-			SeedLagS: 3, ContactMs: 4000, AckMs: 5000, SyncS: 4, DrainMs: 3000, GraceS: 8, ConfigApplyMs: 3000,
-			RollbackSlackMs: 250, MaxSkewMs: 6000, EvacMs: 5000, RecoveryS: 12, TTLMaxS: 5,
-		},
 	}
+	w.bounds = w.drawBounds()
 	w.ledger.versions = make(map[uint64]*version)
 	w.seedsOf = w.drawSeeds
 	for number := range options.zones {
@@ -158,6 +155,30 @@
 	return w
 }
 
+// drawBounds draws each bound from the range of the deployments that there are, in steps of a tenth of it. A bound drawn small beside
+// one drawn large is a deployment that nobody has seen.
+func (w *world) drawBounds() settings.Bounds {
+	const steps = 10
+	between := func(least, most float64) float64 {
+		return least + (most-least)*float64(w.random.Intn(steps+1))/steps
+	}
+	contact := between(4000, 6000)
+	return settings.Bounds{
+		SeedLagS:        3,
+		ContactMs:       contact,
+		AckMs:           contact + between(1000, 2000),
+		SyncS:           between(4, 6),
+		DrainMs:         between(3000, 4000),
+		GraceS:          8,
+		ConfigApplyMs:   between(3000, 4000),
+		RollbackSlackMs: 250,
+		MaxSkewMs:       between(6000, 10000),
+		EvacMs:          5000,
+		RecoveryS:       between(12, 15),
+		TTLMaxS:         5,
+	}
+}
+
 // watchLosses notes when more machines are lost than are to be borne at once. One counts as lost while it is down, cut off, frozen or slow
 // or its disk is in trouble, and for syncS afterwards; not where the whole core is struck at once, which is to be borne as well.
 func (w *world) watchLosses() {
--- a/internal/control/world_trouble_test.go
+++ b/internal/control/world_trouble_test.go
@@ -142,8 +142,10 @@
 	happen := troubles[w.random.Intn(len(troubles))]
 	w.happened = append(w.happened, fmt.Sprintf("%v %s", w.now.Sub(worldEpoch), troubleName(happen)))
 	happen(w.within(4 * time.Second))
-	pauses := []time.Duration{50, 200, 700, 2000, 4100, 5500}
-	w.run(pauses[w.random.Intn(len(pauses))] * time.Millisecond)
+	const ms = time.Millisecond
+	contact := w.bounds.Contact()
+	pauses := []time.Duration{50 * ms, 200 * ms, 700 * ms, 2000 * ms, contact + 100*ms, contact + 1500*ms}
+	w.run(pauses[w.random.Intn(len(pauses))])
 	w.askDirectory()
 }
 
