--- a/internal/registry/merge_test.go
+++ b/internal/registry/merge_test.go
@@ -353,3 +353,41 @@
 	}
 	assert.DeepEqual(t, lacking, map[string]bool{"c3": true, "c4": true})
 }
+
+// A digest that tells fewer numbers or ages than instances is taken as far as it goes.
+func TestDigestOfUnequalListsIsTakenAsFarAsItGoes(t *testing.T) {
+	for _, shorten := range []func(*feedpb.RegistryDigest){
+		func(digest *feedpb.RegistryDigest) { digest.Seqs = digest.Seqs[:1] },
+		func(digest *feedpb.RegistryDigest) { digest.AgesMs = digest.AgesMs[:1] },
+	} {
+		one, two := pair(at(0))
+		for _, id := range []string{"i", "j"} {
+			pass(at(0), one, two, one.Replicate(at(0), one.Heartbeat(at(0), heartbeatOf(id, 1))).Message)
+		}
+		tickUntil(two, 0, 4000)
+		one.Heartbeat(at(4000), heartbeatOf("i", 2))
+		one.Heartbeat(at(4000), heartbeatOf("j", 2))
+		message := one.Tick(at(4000)).Broadcast
+		assert.Equal(t, len(message.GetDigest().GetFingerprints()), 2)
+		shorten(message.GetDigest())
+		changed, _ := two.Merge(at(4000), message)
+		assert.Equal(t, len(changed), 1)
+	}
+}
+
+// What a process is known to have of an instance that leaves is the furthest that it told in one life. What it told in another life is
+// lost with that.
+func TestHolderIsKnownByTheFurthestOfItsLife(t *testing.T) {
+	one, _ := pair(at(0))
+	one.Heartbeat(at(0), heartbeatOf("i", 1).draining())
+	known, holder := one.records["i"], one.peers["c2"]
+	holder.life = 7
+	one.noteReplica(known, holder, StateGone)
+	one.noteReplica(known, holder, StateDraining)
+	assert.Equal(t, known.heldBy["c2"], holding{life: 7, reported: StateGone})
+	holder.life = 8
+	one.noteReplica(known, holder, StateDraining)
+	assert.Equal(t, known.heldBy["c2"], holding{life: 8, reported: StateDraining})
+	one.noteReplica(known, holder, StateReady)
+	assert.Equal(t, known.heldBy["c2"], holding{life: 8, reported: StateDraining}, "who has it ready knows nothing of its leaving")
+}
--- a/internal/registry/table_test.go
+++ b/internal/registry/table_test.go
@@ -292,3 +292,25 @@
 	// true
 	// draining true
 }
+
+// The end of a warm-up is taken from each heartbeat that tells another one than before, and ends with the first that tells none.
+func TestEndOfAWarmUp(t *testing.T) {
+	past, future := at(-100), at(3000)
+	for _, c := range []struct {
+		name   string
+		known  time.Time
+		warmup time.Duration
+		want   time.Time
+	}{
+		{"never cold", time.Time{}, 0, time.Time{}},
+		{"cold for the first time", time.Time{}, 2 * time.Second, at(2000)},
+		{"warm since a while", past, 0, past},
+		{"cold again", past, 2 * time.Second, at(2000)},
+		{"as told before", future, 3 * time.Second, future},
+		{"nearly as told before", future, 3*time.Second + coldTolerance, future},
+		{"longer than told before", future, 3*time.Second + coldTolerance + 1, at(3000).Add(coldTolerance + 1)},
+		{"warm sooner than told before", future, 0, time.Time{}},
+	} {
+		assert.Equal(t, coldUntil(at(0), c.known, c.warmup), c.want, c.name)
+	}
+}
