--- a/internal/distribution/source_test.go
+++ b/internal/distribution/source_test.go
@@ -71,6 +71,9 @@
 	assert.Assert(t, history.since(now, 4).GetWhole())
 	assert.Assert(t, history.take(wholeUpdate(8, "other")))
 	assert.Assert(t, history.since(now, 7).GetWhole())
+	assert.Assert(t, !history.take(wholeUpdate(8, "newer?")))
+	assert.Assert(t, !history.take(wholeUpdate(7, "older")))
+	assert.Equal(t, string(history.state.Document), "other")
 	empty := wholeHistory(wholeUpdate(5, ""))
 	assert.Equal(t, len(empty.steps), 0)
 }
--- a/internal/registry/merge_test.go
+++ b/internal/registry/merge_test.go
@@ -391,3 +391,25 @@
 	one.noteReplica(known, holder, StateReady)
 	assert.Equal(t, known.heldBy["c2"], holding{life: 8, reported: StateDraining}, "who has it ready knows nothing of its leaving")
 }
+
+// While a table fills, a difference is looked into at once and often; afterwards only one that lasts, once in a while.
+func TestDifferenceIsLookedIntoSoonerWhileATableFills(t *testing.T) {
+	differs := &feedpb.RegistryDigest{TableHash: 12345}
+	asked := func(table *Table, ms int) bool {
+		var answer feedpb.RegistryMessage
+		table.compareTables(at(ms), table.peers["c2"], differs, &answer)
+		return len(answer.Buckets) > 0
+	}
+	filling, _ := pair(at(0))
+	filling.SetInTouch(at(0), true)
+	const settled = 60_000
+	assert.Assert(t, !filling.Complete(at(1000)) && filling.Complete(at(settled)))
+	assert.Assert(t, asked(filling, 1000), "the first difference")
+	assert.Assert(t, !asked(filling, 1299), "not too often")
+	assert.Assert(t, asked(filling, 1301))
+	filling.peers["c2"].mismatches = 0
+	assert.Assert(t, !asked(filling, settled), "one digest proves nothing")
+	assert.Assert(t, asked(filling, settled+1))
+	assert.Assert(t, !asked(filling, settled+900), "not too often")
+	assert.Assert(t, asked(filling, settled+1100))
+}
