Test which accusers count for a suspicion

Change: TestAccusersThatCount: each accuser once, a dead one and one without a name never, a second one shortens the time to refute.

--- a/internal/swim/spread_test.go
+++ b/internal/swim/spread_test.go
@@ -113,3 +113,24 @@
 	ask(target)
 	assert.Equal(t, len(helper.relayedProbes), 0)
 }
+
+// Each accuser counts once. One that is gone itself, or has no name, counts neither for a new suspicion nor for one that there is.
+func TestAccusersThatCount(t *testing.T) {
+	n := settled(t, 5, 6)
+	node := n.all[0].node
+	find := func(index int) *peer { return node.table.byAddress[n.all[index].self.Address] }
+	accused, gone := find(1), find(2)
+	node.bury(n.now, gone, Dead, gone.Incarnation)
+	node.doubt(n.now, accused, report{Member: accused.Member, accuser: gone.Name})
+	assert.Equal(t, accused.Status, Alive)
+	node.doubt(n.now, accused, report{Member: accused.Member, accuser: find(3).Name})
+	assert.Equal(t, accused.Status, Suspect)
+	patience := accused.suspicion.deadline()
+	for _, accuser := range []string{"", gone.Name, find(3).Name} {
+		node.confirm(accused, accuser)
+		assert.Equal(t, len(accused.suspicion.accusers), 1, "accuser %q", accuser)
+	}
+	node.confirm(accused, find(4).Name)
+	assert.Equal(t, len(accused.suspicion.accusers), 2)
+	assert.Assert(t, accused.suspicion.deadline().Before(patience))
+}
