Split relay.go by job, without a change of behaviour

Need: the file had grown to 1,055 lines; the issue asks for its parts by job.

Change: relay.go keeps construction, start and end; resume.go takes up the log, loop.go is the loop, events.go says what each event means, send.go carries out what was decided. The lines are the same, sorted and compared; the trials' broken relays name the new files.

Measured: internal/relay with the race detector, and the nine broken relays of internal/trial, all found out (37 s).

--- a/internal/trial/trial_test.go
+++ b/internal/trial/trial_test.go
@@ -165,28 +165,29 @@
 // A relay that is broken on purpose, in a build of this test alone, is found out: each invariant by its name.
 func TestEachInvariantFailsOnARelayThatBreaksIt(t *testing.T) {
 	busiest := []string{"s-00a", "s-00b", "s-01a", "s-01b"} // two partners that take payments, with two endpoints at least
-	const relay, hosts, config, wal = "internal/relay/relay.go", "internal/relay/hosts.go", "internal/relay/config.go", "internal/wal/wal.go"
+	const events, send = "internal/relay/events.go", "internal/relay/send.go"
+	const hosts, config, wal = "internal/relay/hosts.go", "internal/relay/config.go", "internal/wal/wal.go"
 	for _, c := range []struct {
 		name, scenario string
 		changes        []change
 		steps          []Step // in place of the scenario's own
 	}{
-		{check.TakenIsEnded, "partner-outage", []change{{relay, "\tr.finals.add(n)\n}", "\t_ = n // the notice is forgotten\n}"}}, nil},
+		{check.TakenIsEnded, "partner-outage", []change{{send, "\tr.finals.add(n)\n}", "\t_ = n // the notice is forgotten\n}"}}, nil},
 		{check.NoSecondEffect, "calm", []change{{hosts, "\treturn policy.Reset\n}", "\treturn policy.ConnectFailed // what may have run is taken for what never did\n}"}},
 			[]Step{{At: span(time.Second), Do: "break", On: busiest, For: span(2 * time.Second)}}},
 		{check.OwnEndpoints, "calm", []change{{config, "\tl.Destination = *m.Cell\n", "\tl.Destination = *m.Cell ^ 1 // two partners are taken for each other\n"}}, nil},
 		{check.DrainKept, "agent-silent", []change{{config, "\tcase \"draining\":\n", "\tcase \"draining\":\n\t\tl.InService = true // a drain is passed over\n"}}, nil},
 		{check.WaitHeeded, "calm", []change{{hosts, "\tr := result{wait: wait, report:", "\twait = 0 // what a partner tells is passed over\n\tr := result{wait: wait, report:"}},
 			[]Step{{At: span(time.Second), Do: "shut", On: busiest, For: span(2500 * time.Millisecond)}}},
-		{check.MemoryFlat, "calm", []change{{relay, "func (r *Relay) notify(m *message) {",
+		{check.MemoryFlat, "calm", []change{{send, "func (r *Relay) notify(m *message) {",
 			"var kept [][]byte\n\nfunc (r *Relay) notify(m *message) {"},
-			{relay, "func (r *Relay) retire(m *message) {", "func (r *Relay) retire(m *message) {\n\tkept = append(kept, make([]byte, 256<<10)) // never let go\n\tfor i := range kept[len(kept)-1] {\n\t\tkept[len(kept)-1][i] = 1\n\t}"}}, nil},
+			{events, "func (r *Relay) retire(m *message) {", "func (r *Relay) retire(m *message) {\n\tkept = append(kept, make([]byte, 256<<10)) // never let go\n\tfor i := range kept[len(kept)-1] {\n\t\tkept[len(kept)-1][i] = 1\n\t}"}}, nil},
 		{check.DiskBound, "calm", []change{{wal, "\tif l.size+int64(len(all)) > l.share(compactShare) {", "\tif l.size+int64(len(all)) > 1<<40 {"},
 			{wal, "\tif l.size+int64(len(all)) > l.limit-2*block {", "\tif l.size+int64(len(all)) > 1<<40 {"}}, nil},
-		{check.StaysUp, "calm", []change{{relay, "func (r *Relay) retire(m *message) {", "func (r *Relay) retire(m *message) {\n\tif r.lastID > 30 {\n\t\tpanic(\"broken on purpose\")\n\t}"}}, nil},
-		{check.NoLeak, "calm", []change{{relay, "func (r *Relay) retire(m *message) {", "func (r *Relay) retire(m *message) {\n\tif f, err := os.Open(os.DevNull); err == nil && len(kept) < 100 {\n\t\tkept = append(kept, f)\n\t}"},
-			{relay, "func (r *Relay) notify(m *message) {", "var kept []*os.File\n\nfunc (r *Relay) notify(m *message) {"},
-			{relay, "\t\"net/http\"\n", "\t\"net/http\"\n\t\"os\"\n"}}, nil},
+		{check.StaysUp, "calm", []change{{events, "func (r *Relay) retire(m *message) {", "func (r *Relay) retire(m *message) {\n\tif r.lastID > 30 {\n\t\tpanic(\"broken on purpose\")\n\t}"}}, nil},
+		{check.NoLeak, "calm", []change{{events, "func (r *Relay) retire(m *message) {", "func (r *Relay) retire(m *message) {\n\tif f, err := os.Open(os.DevNull); err == nil && len(kept) < 100 {\n\t\tkept = append(kept, f)\n\t}"},
+			{events, "func (r *Relay) done(m *message) {", "var kept []*os.File\n\nfunc (r *Relay) done(m *message) {"},
+			{events, "\t\"net/http\"\n", "\t\"net/http\"\n\t\"os\"\n"}}, nil},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
