--- a/internal/chain/journal.go
+++ b/internal/chain/journal.go
@@ -63,7 +63,7 @@
 
 func (n *Node) needsRewrite() bool {
 	bytes := n.journal.bytes
-	return bytes > rewriteBytes || bytes > max(rewriteLeast, rewriteFactor*n.journal.snapshot)
+	return bytes > rewriteBytes || bytes > max(n.log.retention.RewriteFrom, rewriteFactor*n.journal.snapshot)
 }
 
 // rewrite replaces the file by the present state, which holds whatever was queued.
--- a/internal/chain/log.go
+++ b/internal/chain/log.go
@@ -10,6 +10,7 @@
 	committed    uint64
 	state        State // after the committed entries
 	bytes        int   // of the commands held
+	retention    Retention
 }
 
 // logEntry is an entry with what applying it gave, which is kept until it is committed.
@@ -94,11 +95,11 @@
 // dropOld lets go of committed entries that nobody should need any more. It works in steps, as it copies what stays.
 func (l *entryLog) dropOld() {
 	held := int(l.committed - l.basePosition)
-	if held <= 2*keptEntries && (l.bytes <= 2*keptBytes || held == 0) {
+	if held <= 2*l.retention.Entries && (l.bytes <= 2*l.retention.EntryBytes || held == 0) {
 		return
 	}
 	drop := 0
-	for drop < held && (held-drop > keptEntries || l.bytes > keptBytes) {
+	for drop < held && (held-drop > l.retention.Entries || l.bytes > l.retention.EntryBytes) {
 		l.bytes -= len(l.entries[drop].wire.Command)
 		drop++
 	}
@@ -109,7 +110,7 @@
 
 // reset replaces all by a snapshot.
 func (l *entryLog) reset(position, epoch uint64, state State) {
-	*l = entryLog{basePosition: position, baseEpoch: epoch, committed: position, state: state}
+	*l = entryLog{basePosition: position, baseEpoch: epoch, committed: position, state: state, retention: l.retention}
 }
 
 // between returns the entries behind the first position up to the second. Both have to be held.
--- a/internal/chain/node.go
+++ b/internal/chain/node.go
@@ -61,6 +61,7 @@
 		clients:    newClients(),
 	}
 	n.self.Identity = ""
+	n.log.retention = options.Retention.orDefault()
 	n.log.reset(0, 0, options.Initial)
 	n.begin(now)
 	if len(recovered) == 0 {
--- a/internal/chain/rewrite_test.go
+++ b/internal/chain/rewrite_test.go
@@ -48,6 +48,9 @@
 	}
 }
 
+// keptEntries is how many entries a process in service holds for others.
+var keptEntries = uint64(DefaultRetention().Entries)
+
 // leaveBehind ends a process and makes more changes than are kept for one that lags.
 func (s *simulation) leaveBehind(away *process) {
 	s.t.Helper()
--- a/internal/chain/simulation_test.go
+++ b/internal/chain/simulation_test.go
@@ -26,6 +26,7 @@
 	seeds     []string
 	trouble   networkTrouble
 	verbose   bool
+	retention Retention
 	minimum   int // length of the chain that is wanted
 	initial   State
 	decode    Decoder
@@ -201,6 +202,7 @@
 		Initial:      p.simulation.initial,
 		Decode:       p.simulation.decode,
 		AckBound:     simulatedBound,
+		Retention:    p.simulation.retention,
 		Random:       rand.New(rand.NewSource(p.simulation.random.Int63())),
 	}
 }
--- a/internal/chain/types.go
+++ b/internal/chain/types.go
@@ -57,6 +57,7 @@
 	Decode       Decoder       // reads what Encode wrote
 	AckBound     time.Duration // within which a submitted command has to be answered
 	Random       *rand.Rand    // for identities, ballots and back-off
+	Retention    Retention     // of old entries
 }
 
 // Output is what the owner of a node has to do after a call. Sends may be lost. Writes are carried out in order, and each is
@@ -167,8 +168,5 @@
 	impairedShare       = 8                       // of AckBound: a write out for longer is trouble
 	stuckShare          = 4                       // of AckBound: an entry or heartbeat not through for longer is trouble
 	rewriteBytes        = 8 << 20                 // a log longer than this is rewritten
-	rewriteFactor       = 4                       // or one longer than this times the snapshot
-	rewriteLeast        = 1 << 20                 // but none shorter than this
-	keptEntries         = 256                     // committed entries held for others that lag
-	keptBytes           = 1 << 20                 // and their size at most
+	rewriteFactor       = 4                       // or one longer than this times the snapshot, see Retention
 )
--- a/internal/chain/walk_test.go
+++ b/internal/chain/walk_test.go
@@ -55,9 +55,18 @@
 	sent    int
 }
 
+// retentions are what the walks keep of the past: as in service, and so little that who was away for a moment needs a snapshot, and that
+// the log on disk is rewritten all the time.
+var retentions = []Retention{
+	{},
+	{Entries: 2, EntryBytes: 1 << 20, RewriteFrom: 2 << 10},
+	{Entries: 20, EntryBytes: 60, RewriteFrom: 16 << 10},
+}
+
 func newWalk(t *testing.T, seed int64, count, initial int, chooser chooser) *walk {
 	w := &walk{simulation: newSimulation(t, seed, count), chooser: chooser, refused: make(map[string]bool), views: make(map[uint64]View)}
 	w.soft = true
+	w.retention = retentions[seed%int64(len(retentions))]
 	w.watch = w.observe
 	for _, p := range w.processes {
 		if p.number < initial {
--- a/internal/control/process.go
+++ b/internal/control/process.go
@@ -49,6 +49,7 @@
 	instances *registry.Table
 	feed      *distribution.Publisher
 
+	retention   chain.Retention              // the zero value in service
 	seeds       []string                     // of the newest settings
 	seedsOf     uint64                       // epoch of the view whose voters membership was last told
 	answers     map[uint64]chan chain.Answer // by request
@@ -127,6 +128,7 @@
 		Initial:      replicated{config.EmptyState()},
 		Decode:       decodeReplicated,
 		AckBound:     set.Bounds.Ack(),
+		Retention:    p.retention,
 		Random:       random,
 	}, store.records, now)
 	if err != nil {
--- a/internal/control/world_test.go
+++ b/internal/control/world_test.go
@@ -42,6 +42,7 @@
 	links      map[[2]int]*link // from, to
 	calmSince  time.Time        // the last trouble of the core
 	tolerate   int
+	retention  chain.Retention
 	replaced   int
 	ledger     ledger
 	broken     []string
@@ -49,6 +50,8 @@
 	unclear    int
 	directory  int // answers
 	freshReads int
+	snapshots  uint64 // that were sent
+	rewrites   uint64 // of stores
 
 	atAcknowledgement func()                         // what happens once, as the next order is acknowledged; nil: nothing
 	seedsOf           func(*controlMachine) []string // of a process that starts again with its disk
@@ -127,6 +130,7 @@
 		tolerate: options.tolerate,
 	}
 	w.bounds = w.drawBounds()
+	w.retention = w.drawRetention()
 	w.ledger.versions = make(map[uint64]*version)
 	w.seedsOf = w.drawSeeds
 	for number := range options.zones {
@@ -179,6 +183,17 @@
 	}
 }
 
+// drawRetention draws what the core keeps of the past: as in service, or so little that a process that was away for a moment needs a
+// snapshot, and that stores are rewritten all the time, as after hundreds of changes.
+func (w *world) drawRetention() chain.Retention {
+	retentions := []chain.Retention{
+		{},
+		{Entries: 2, EntryBytes: 1 << 20, RewriteFrom: 4 << 10},
+		{Entries: 20, EntryBytes: 2 << 10, RewriteFrom: 32 << 10},
+	}
+	return retentions[w.random.Intn(len(retentions))]
+}
+
 // watchLosses notes when more machines are lost than are to be borne at once. One counts as lost while it is down, cut off, frozen or slow
 // or its disk is in trouble, and for syncS afterwards; not where the whole core is struck at once, which is to be borne as well.
 func (w *world) watchLosses() {
@@ -320,6 +335,7 @@
 	c.process = newProcess(set, slog.New(slog.NewTextHandler(io.Discard, nil)), func() time.Time { return w.now }, random)
 	c.process.network = simulatedNetwork{w, c.machine, c.life}
 	c.process.disk = c
+	c.process.retention = w.retention
 	first, err := c.process.build(openedStore{file: file, records: records}, random)
 	if err != nil {
 		w.fail("machine %d: %v", c.number, err)
@@ -406,6 +422,7 @@
 	}
 	const mostOperations = 8
 	c.world.disturb(c.machine)
+	c.countWork()
 	c.up = false
 	c.life++
 	if c.writing != nil {
@@ -420,6 +437,13 @@
 	}
 }
 
+// countWork adds what the present life did to the figures of the walk.
+func (c *controlMachine) countWork() {
+	counters := c.process.chain.Status().Counters
+	c.world.snapshots += counters.Snapshots
+	c.world.rewrites += counters.Rewrites
+}
+
 func (c *controlMachine) wipe() {
 	c.kill(true)
 	c.disk = simdisk.New()
--- a/internal/control/world_walk_test.go
+++ b/internal/control/world_walk_test.go
@@ -58,6 +58,7 @@
 		if c.gone {
 			continue
 		}
+		c.countWork()
 		state, _ := c.process.chain.Committed()
 		if held := state.(replicated).state.Generation(); held < newest {
 			w.fail("at the end machine %d holds version %d, %d is acknowledged", c.number, held, newest)
@@ -113,6 +114,7 @@
 		worlds[index] = playWorld(t, *worldFirst+int64(index))
 	})
 	acked, reads, asked, checks := 0, 0, 0, 0
+	snapshots, rewrites := uint64(0), uint64(0)
 	for index, w := range worlds {
 		for _, broken := range w.broken[:min(3, len(w.broken))] {
 			t.Errorf("walk %d: %s", *worldFirst+int64(index), broken)
@@ -121,10 +123,12 @@
 			t.Logf("walk %d, what happened: %s", *worldFirst+int64(index), strings.Join(w.happened, "; "))
 		}
 		acked, reads, asked, checks = acked+w.acked, reads+w.freshReads, asked+w.directory, checks+w.checks
+		snapshots, rewrites = snapshots+w.snapshots, rewrites+w.rewrites
 	}
-	t.Logf("%d walks: %d orders acknowledged, %d reads and %d questions to the directory answered, %d looks at relays in touch",
-		len(worlds), acked, reads, asked, checks)
+	t.Logf("%d walks: %d orders acknowledged, %d reads and %d questions to the directory answered, %d looks at relays in touch, "+
+		"%d snapshots sent, %d stores rewritten", len(worlds), acked, reads, asked, checks, snapshots, rewrites)
 	assert.Assert(t, acked > 0 && reads > 0 && asked > 0 && checks > 0, fmt.Sprint(acked, reads, asked, checks))
+	assert.Assert(t, snapshots > 0 && rewrites > 0, fmt.Sprint(snapshots, rewrites))
 }
 
 // A walk that is played again is the same walk: a seed that breaks something can be looked into.
