--- a/internal/control/world_test.go
+++ b/internal/control/world_test.go
@@ -67,7 +67,7 @@
 	random      *rand.Rand
 	lastArrival time.Time     // of what was sent over a connection
 	delay       time.Duration // on top of the usual one
-	resets      int           // of its connections: what was under way then is lost
+	resets      int           // of its connections: what was under way then is lost or comes late
 	held        []heldMessage // sent over a connection while the link was cut
 }
 
@@ -510,10 +510,11 @@
 		}
 		way.lastArrival = at
 	}
-	resets := way.resets
+	resets, life := way.resets, to.life
 	w.events.At(at, func() {
 		switch {
 		case way.resets != resets:
+			w.arriveByTheFormerConnection(from, to, life, kind, payload)
 		case ordered && (len(way.held) > 0 || w.cut[[2]int{from.number, to.number}]):
 			w.hold(from, to, heldMessage{kind: kind, payload: payload, sentAt: w.now})
 		default:
@@ -522,6 +523,21 @@
 	})
 }
 
+// arriveByTheFormerConnection has what was under way at a reset lost, or read by the receiver from the connection that was, when much
+// may have come by the next one.
+func (w *world) arriveByTheFormerConnection(from, to *machine, life int, kind transport.Kind, payload []byte) {
+	const latest = 600 * time.Millisecond
+	way := w.linkOf(from, to)
+	if way.random.Intn(2) == 0 {
+		return
+	}
+	w.after(time.Duration(way.random.Int63n(int64(latest))), func() {
+		if to.life == life {
+			w.arrive(from, to, kind, payload)
+		}
+	})
+}
+
 // hold keeps what a cut holds up. Once the cut is over it arrives, in order, unless it has waited for too long by then.
 func (w *world) hold(from, to *machine, message heldMessage) {
 	way := w.linkOf(from, to)
