Let dropped voters vote again after 0.3 s instead of 1 s

Cause: voters that were lost are dropped now also where two of five are; when they return each was watched for a second like a machine that nobody knows, so that both voted again after up to 3.4 s in the simulation, to which membership adds what it takes to notice the return. The next loss is to be borne syncS (4 s) after it.

Change: a node remembers who voted in earlier views; such a learner is watched for 300 ms, as one at the address of a dead voter is.

TestDroppedVotersVoteAgainSoon asks for 2.5 s and fails without the change.

--- a/internal/chain/install.go
+++ b/internal/chain/install.go
@@ -51,6 +51,7 @@
 	if len(view.Chain) < n.leastChainLength(view) {
 		n.counters.BrokenChainMinimum++
 	}
+	n.noteFormerVoters(view)
 	n.view, n.viewSince = view, n.now
 	n.acceptor = acceptor{instance: view.Epoch + 1}
 	n.attempt = nil
--- a/internal/chain/node.go
+++ b/internal/chain/node.go
@@ -30,8 +30,9 @@
 
 	view             View
 	viewSince        time.Time
-	installed        uint64 // epoch in which the log was last taken from the predecessor
-	durableInstalled uint64 // the same, on disk
+	formerVoters     map[Identity]struct{} // of views before this one, as far as they are remembered
+	installed        uint64                // epoch in which the log was last taken from the predecessor
+	durableInstalled uint64                // the same, on disk
 	acceptor         acceptor
 	mistakes         mistakes
 	attempt          *attempt
--- a/internal/chain/removal_test.go
+++ b/internal/chain/removal_test.go
@@ -98,3 +98,26 @@
 	s.write("meanwhile")
 	s.finish("meanwhile")
 }
+
+// Two of five that were dropped while they were lost vote again well before the next loss is to be borne.
+func TestDroppedVotersVoteAgainSoon(t *testing.T) {
+	longest := time.Duration(0)
+	for seed := range int64(40) {
+		s := settled(t, seed, 5)
+		lost := s.random.Perm(5)[:2]
+		for _, number := range lost {
+			s.processes[number].kill(false)
+		}
+		s.run(6*time.Second + time.Duration(seed)*37*time.Millisecond)
+		assert.Equal(t, len(s.newestView().Voters), 3)
+		for _, number := range lost {
+			s.processes[number].start(false)
+		}
+		longest = max(longest, s.until(4*time.Second, func() bool {
+			return len(s.newestView().Voters) == 5 && s.active()
+		}))
+		s.finish()
+	}
+	t.Logf("they vote again after %v at most", longest)
+	assert.Assert(t, longest < 2500*time.Millisecond)
+}
--- a/internal/chain/voters.go
+++ b/internal/chain/voters.go
@@ -22,6 +22,8 @@
 	caughtUpEntries = 16
 	caughtUpWithin  = 600 * time.Millisecond
 	checkpointsHeld = 4
+	// formerVotersMost is how many voters that were dropped or replaced are remembered; then all are forgotten.
+	formerVotersMost = 64
 )
 
 // checkpoint remembers what was committed at a time.
@@ -122,7 +124,7 @@
 			}
 			continue
 		}
-		if n.now.Sub(each.since) >= candidateSteady && !n.anyVoterDead() {
+		if n.now.Sub(each.since) >= n.patienceWith(each.member.Identity) && !n.anyVoterDead() {
 			return voterChange{add: each.member}
 		}
 	}
@@ -132,6 +134,27 @@
 	return voterChange{lengthen: n.mayLengthen()}
 }
 
+// patienceWith is how long a learner is watched before it becomes one more voter. One that voted before was dropped while it was lost: the
+// sooner it votes again, the sooner the next loss can be borne.
+func (n *Node) patienceWith(learner Identity) time.Duration {
+	if _, former := n.formerVoters[learner]; former {
+		return candidateReturned
+	}
+	return candidateSteady
+}
+
+// noteFormerVoters remembers who votes no more with a newer view.
+func (n *Node) noteFormerVoters(view View) {
+	if n.formerVoters == nil || len(n.formerVoters) >= formerVotersMost {
+		n.formerVoters = make(map[Identity]struct{})
+	}
+	for _, voter := range n.view.Voters {
+		if _, stays := view.Voter(voter.Identity); !stays {
+			n.formerVoters[voter.Identity] = struct{}{}
+		}
+	}
+}
+
 // mayLengthen tells whether the chain is shorter than wanted, and a voter outside of it can be counted on.
 func (n *Node) mayLengthen() bool {
 	if len(n.view.Chain) >= n.desiredChainLength(n.view) || n.now.Sub(n.activeSince) < candidateSteady {
