--- a/internal/smallsystem/core_test.go
+++ b/internal/smallsystem/core_test.go
@@ -31,6 +31,7 @@
 	programs string
 	dir      string
 	layout   layout
+	called   []machine                // by the operator
 	running  map[string]*proc.Process // by machine; used by the test's own goroutine alone
 	acked    atomic.Uint64            // the newest version that was acknowledged
 	client   http.Client
@@ -64,6 +65,7 @@
 		programs: programs,
 		dir:      t.TempDir(),
 		layout:   l,
+		called:   l.control,
 		running:  make(map[string]*proc.Process),
 		client:   http.Client{Timeout: operatorTry},
 	}
@@ -82,7 +84,7 @@
 	if !c.t.Failed() {
 		return
 	}
-	for _, machine := range c.layout.control {
+	for _, machine := range c.called {
 		text, err := os.ReadFile(filepath.Join(c.folder(machine), logName))
 		c.t.Logf("log of %s (%v):\n%s", machine.name, err, text)
 	}
@@ -127,7 +129,7 @@
 func (c *core) order(method, path, match, body string) (status int) {
 	c.t.Helper()
 	for begun := time.Now(); time.Since(begun) < orderBound; wait(operatorPause) {
-		to := c.layout.control[rand.IntN(len(c.layout.control))].at(portControl)
+		to := c.called[rand.IntN(len(c.called))].at(portControl)
 		request, err := http.NewRequestWithContext(context.Background(), method, "http://"+to+path, strings.NewReader(body))
 		assert.NilError(c.t, err)
 		if match != "" {
@@ -203,7 +205,8 @@
 	status := c.order(http.MethodPut, "/config", fmt.Sprint(newest-1), change(newest))
 	assert.Equal(c.t, status, http.StatusOK, "the newest order, sent again")
 	for begun := time.Now(); time.Since(begun) < orderBound; wait(operatorPause) {
-		answer, err := c.client.Get("http://" + c.anyMachine().at(portControl) + "/config")
+		to := c.called[c.random.IntN(len(c.called))].at(portControl)
+		answer, err := c.client.Get("http://" + to + "/config")
 		if err != nil {
 			continue
 		}
