Shrink a walk over control planes that breaks something

Change: each step draws from its own number, so that steps can be left out; a walk that fails is played again without each of its steps in turn, and told with those that are needed and the flags that play them (-world.steps).

--- a/internal/control/world_walk_test.go
+++ b/internal/control/world_walk_test.go
@@ -3,8 +3,11 @@
 import (
 	"flag"
 	"fmt"
+	"math/rand"
 	"net/http"
 	"net/http/httptest"
+	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -18,6 +21,7 @@
 var (
 	worldWalks = flag.Int("world.walks", 20, "walks over whole control planes")
 	worldFirst = flag.Int64("world.first", 1, "seed of the first one")
+	worldSteps = flag.String("world.steps", "", "the steps of each walk that are played, such as 0,4,7; empty: all")
 )
 
 // askDirectory asks a control process in touch where to go: it names no relay that has been down for long.
@@ -82,8 +86,18 @@
 	}
 }
 
-// playWorld plays the walk of a seed.
-func playWorld(t *testing.T, seed int64) *world {
+// stepsOf are the steps of the walk of a seed.
+func stepsOf(seed int64) []int {
+	const least, more = 6, 20
+	steps := make([]int, least+rand.New(rand.NewSource(seed)).Intn(more))
+	for index := range steps {
+		steps[index] = index
+	}
+	return steps
+}
+
+// playWorld plays steps of the walk of a seed. What a step does does not depend on those before it.
+func playWorld(t *testing.T, seed int64, steps []int) *world {
 	sizes := []worldOptions{
 		{controls: 3, zones: 3, relays: 3, endpoints: 4, tolerate: 1},
 		{controls: 3, zones: 2, relays: 3, endpoints: 4, tolerate: 1},
@@ -96,7 +110,8 @@
 	}
 	w := newWorld(t, seed, sizes[seed%int64(len(sizes))])
 	w.run(6 * time.Second)
-	for range 6 + w.random.Intn(20) {
+	for _, step := range steps {
+		w.random = rand.New(rand.NewSource(seed + int64(step+1)<<32))
 		if w.step(); len(w.broken) > 0 {
 			return w
 		}
@@ -105,22 +120,67 @@
 	return w
 }
 
+// shrunk leaves out every step without which something is still broken.
+func shrunk(steps []int, breaks func(steps []int) bool) []int {
+	for index := len(steps) - 1; index >= 0; index-- {
+		if fewer := slices.Delete(slices.Clone(steps), index, index+1); breaks(fewer) {
+			steps = fewer
+		}
+	}
+	return steps
+}
+
+// chosenSteps are those of the flag, or all of a walk.
+func chosenSteps(t *testing.T, seed int64) []int {
+	if *worldSteps == "" {
+		return stepsOf(seed)
+	}
+	var steps []int
+	for _, text := range strings.Split(*worldSteps, ",") {
+		step, err := strconv.Atoi(text)
+		assert.NilError(t, err)
+		steps = append(steps, step)
+	}
+	return steps
+}
+
+// report tells what a walk broke, and the fewest of its steps that still break something.
+func (w *world) report(seed int64, steps []int) {
+	w.t.Helper()
+	for _, broken := range w.broken[:min(3, len(w.broken))] {
+		w.t.Errorf("walk %d: %s", seed, broken)
+	}
+	w.t.Logf("walk %d, what happened: %s", seed, strings.Join(w.happened, "; "))
+	var fewest *world
+	steps = shrunk(steps, func(fewer []int) bool {
+		played := playWorld(w.t, seed, fewer)
+		if len(played.broken) == 0 {
+			return false
+		}
+		fewest = played
+		return true
+	})
+	if fewest == nil {
+		return
+	}
+	w.t.Logf("walk %d, still broken with -world.first=%d -world.walks=1 -world.steps=%s: %s: %s", seed, seed,
+		strings.Trim(strings.Join(strings.Fields(fmt.Sprint(steps)), ","), "[]"), strings.Join(fewest.happened, "; "), fewest.broken[0])
+}
+
 // Whole control planes are played through everything that may befall them. A walk that breaks something names its seed; -world.first
 // plays it again.
 func TestControlPlanesKeepTheirWord(t *testing.T) {
 	t.Parallel()
 	worlds := make([]*world, *worldWalks)
 	testkit.Each(len(worlds), func(index int) {
-		worlds[index] = playWorld(t, *worldFirst+int64(index))
+		seed := *worldFirst + int64(index)
+		worlds[index] = playWorld(t, seed, chosenSteps(t, seed))
 	})
 	acked, reads, asked, checks := 0, 0, 0, 0
 	snapshots, rewrites := uint64(0), uint64(0)
 	for index, w := range worlds {
-		for _, broken := range w.broken[:min(3, len(w.broken))] {
-			t.Errorf("walk %d: %s", *worldFirst+int64(index), broken)
-		}
-		if len(w.broken) > 0 {
-			t.Logf("walk %d, what happened: %s", *worldFirst+int64(index), strings.Join(w.happened, "; "))
+		if seed := *worldFirst + int64(index); len(w.broken) > 0 {
+			w.report(seed, chosenSteps(t, seed))
 		}
 		acked, reads, asked, checks = acked+w.acked, reads+w.freshReads, asked+w.directory, checks+w.checks
 		snapshots, rewrites = snapshots+w.snapshots, rewrites+w.rewrites
@@ -131,10 +191,20 @@
 	assert.Assert(t, snapshots > 0 && rewrites > 0, fmt.Sprint(snapshots, rewrites))
 }
 
+// A failing walk is told with no more steps than it needs.
+func TestStepsThatAreNotNeededAreLeftOut(t *testing.T) {
+	for _, needed := range [][]int{{}, {3}, {0, 5}, {1, 2, 6}, {0, 1, 2, 3, 4, 5, 6, 7}} {
+		steps := shrunk([]int{0, 1, 2, 3, 4, 5, 6, 7}, func(steps []int) bool {
+			return !slices.ContainsFunc(needed, func(step int) bool { return !slices.Contains(steps, step) })
+		})
+		assert.DeepEqual(t, steps, needed)
+	}
+}
+
 // A walk that is played again is the same walk: a seed that breaks something can be looked into.
 func TestWorldsRepeat(t *testing.T) {
 	for seed := range int64(2) {
-		first, again := playWorld(t, seed), playWorld(t, seed)
+		first, again := playWorld(t, seed, stepsOf(seed)), playWorld(t, seed, stepsOf(seed))
 		assert.Equal(t, first.acked, again.acked)
 		assert.Equal(t, first.unclear, again.unclear)
 		assert.Equal(t, first.freshReads, again.freshReads)
