Name updates, impaired members and pending deliveries in the tests for what they are

Need: test names and two test worlds still had the words rumor, sick, flight and flying.

Change: names alone.

Measured: the tests of registry and distribution, those of updates in swim and of impaired members in chain pass.

--- a/internal/chain/propose_test.go
+++ b/internal/chain/propose_test.go
@@ -38,7 +38,7 @@
 }
 
 // One that alone installed the newest epoch may alone hold what was answered.
-func TestSickMemberIsHeadWhereItAloneHoldsAllThatWasAnswered(t *testing.T) {
+func TestImpairedMemberIsHeadWhereItAloneHoldsAllThatWasAnswered(t *testing.T) {
 	node, view := proposer(t, map[int]*chainpb.Promise{
 		0: {Installed: 2, Position: 7, Impaired: true},
 		1: {Installed: 1, Position: 7},
--- a/internal/distribution/world_test.go
+++ b/internal/distribution/world_test.go
@@ -23,7 +23,7 @@
 	subscribers map[string]*Subscriber
 	relays      []relayHome
 	down        map[string]bool // neither sends nor receives
-	inFlight    []flying
+	pending     []pendingDelivery
 	outputs     map[string]*Output // of each subscriber, gathered
 	// fate returns after which delays copies of a message arrive; nil: one copy after testLatency.
 	fate func(from, to string) []time.Duration
@@ -36,7 +36,7 @@
 	publisher  *Publisher
 }
 
-type flying struct {
+type pendingDelivery struct {
 	at       time.Time
 	from, to string
 	message  *feedpb.FeedMessage
@@ -101,7 +101,7 @@
 	slices.SortStableFunc(output.Sends, func(a, b Send) int { return strings.Compare(a.To, b.To) })
 	for _, send := range output.Sends {
 		for _, delay := range w.delays(from, send.To) {
-			w.inFlight = append(w.inFlight, flying{at: w.now.Add(delay), from: from, to: send.To, message: send.Message})
+			w.pending = append(w.pending, pendingDelivery{at: w.now.Add(delay), from: from, to: send.To, message: send.Message})
 		}
 	}
 	w.passOn(from, output)
@@ -126,7 +126,7 @@
 func (w *world) takeFrom(from string, sends []Send) {
 	for _, send := range sends {
 		for _, delay := range w.delays(from, send.To) {
-			w.inFlight = append(w.inFlight, flying{at: w.now.Add(delay), from: from, to: send.To, message: send.Message})
+			w.pending = append(w.pending, pendingDelivery{at: w.now.Add(delay), from: from, to: send.To, message: send.Message})
 		}
 	}
 }
@@ -154,27 +154,27 @@
 }
 
 func (w *world) deliver() {
-	due := w.inFlight
-	w.inFlight = nil
-	for _, flight := range due {
-		if flight.at.After(w.now) {
-			w.inFlight = append(w.inFlight, flight)
+	due := w.pending
+	w.pending = nil
+	for _, delivery := range due {
+		if delivery.at.After(w.now) {
+			w.pending = append(w.pending, delivery)
 			continue
 		}
-		if !w.down[flight.to] {
-			w.receive(flight)
+		if !w.down[delivery.to] {
+			w.receive(delivery)
 		}
 	}
 }
 
 // receive gives a message to the part of the process that it is for.
-func (w *world) receive(flight flying) {
-	toPublisher := flight.message.GetSubscribe() != nil || flight.message.GetUnsubscribe() != nil
-	if publisher := w.publishers[flight.to]; toPublisher && publisher != nil {
-		w.takeFrom(flight.to, publisher.Receive(w.now, flight.from, flight.message).Sends)
+func (w *world) receive(delivery pendingDelivery) {
+	toPublisher := delivery.message.GetSubscribe() != nil || delivery.message.GetUnsubscribe() != nil
+	if publisher := w.publishers[delivery.to]; toPublisher && publisher != nil {
+		w.takeFrom(delivery.to, publisher.Receive(w.now, delivery.from, delivery.message).Sends)
 	}
-	if subscriber := w.subscribers[flight.to]; !toPublisher && subscriber != nil {
-		w.take(flight.to, subscriber.Receive(w.now, flight.from, flight.message))
+	if subscriber := w.subscribers[delivery.to]; !toPublisher && subscriber != nil {
+		w.take(delivery.to, subscriber.Receive(w.now, delivery.from, delivery.message))
 	}
 }
 
--- a/internal/registry/walk_test.go
+++ b/internal/registry/walk_test.go
@@ -18,12 +18,12 @@
 	lossy     bool
 	tables    map[string]*Table
 	zones     map[string]string
-	inFlight  []flying
+	pending   []pendingDelivery
 	endpoints map[string]*endpoint
 	furthest  map[string]map[string]State // by process and instance: the furthest state reported so far in this life
 }
 
-type flying struct {
+type pendingDelivery struct {
 	at       time.Time
 	from, to string
 	message  *feedpb.RegistryMessage
@@ -87,22 +87,22 @@
 	}
 	for copyNumber := range copies {
 		arrival := w.now.Add(time.Duration(delay+copyNumber*70) * time.Millisecond)
-		w.inFlight = append(w.inFlight, flying{at: arrival, from: from, to: to, message: message})
+		w.pending = append(w.pending, pendingDelivery{at: arrival, from: from, to: to, message: message})
 	}
 }
 
 // step lets 100 ms pass.
 func (w *walk) step() {
 	w.now = w.now.Add(100 * time.Millisecond)
-	due := w.inFlight
-	w.inFlight = nil
-	for _, flight := range due {
-		if flight.at.After(w.now) {
-			w.inFlight = append(w.inFlight, flight)
+	due := w.pending
+	w.pending = nil
+	for _, delivery := range due {
+		if delivery.at.After(w.now) {
+			w.pending = append(w.pending, delivery)
 			continue
 		}
-		_, reply := w.tables[flight.to].Merge(w.now, flight.message)
-		w.send(flight.to, flight.from, reply)
+		_, reply := w.tables[delivery.to].Merge(w.now, delivery.message)
+		w.send(delivery.to, delivery.from, reply)
 	}
 	for _, name := range w.names() {
 		w.tick(name)
--- a/internal/swim/output.go
+++ b/internal/swim/output.go
@@ -29,7 +29,7 @@
 	return output
 }
 
-// datagram puts a message to be sent with the sender's marks on it.
+// datagram puts a message to be sent, signed with the sender's name and incarnation.
 func (n *Node) datagram(to string, message *swimpb.Message) {
 	n.sign(message)
 	n.output.Datagrams = append(n.output.Datagrams, Send{To: to, Message: message})
--- a/internal/swim/updates_test.go
+++ b/internal/swim/updates_test.go
@@ -11,7 +11,7 @@
 	"wallflow/internal/swim/swimpb"
 )
 
-func rumorAbout(name string, incarnation uint64) *swimpb.State {
+func updateAbout(name string, incarnation uint64) *swimpb.State {
 	return &swimpb.State{Name: name, Address: "10.0.0.1:7000", Incarnation: incarnation}
 }
 
@@ -23,29 +23,29 @@
 	return strings.Join(names, " ")
 }
 
-func TestRumorsToldLeastGoFirst(t *testing.T) {
+func TestUpdatesToldLeastGoFirst(t *testing.T) {
 	queue := newUpdateQueue()
-	queue.add(rumorAbout("a", 1), 0)
+	queue.add(updateAbout("a", 1), 0)
 	assert.Equal(t, namesOf(queue.pick(updateBytes, 8)), "a")
-	queue.add(rumorAbout("b", 1), 0)
+	queue.add(updateAbout("b", 1), 0)
 	assert.Equal(t, namesOf(queue.pick(updateBytes, 8)), "b a")
-	queue.add(rumorAbout("c", 1), 0)
-	one := proto.Size(rumorAbout("c", 1)) + stateOverhead
+	queue.add(updateAbout("c", 1), 0)
+	one := proto.Size(updateAbout("c", 1)) + stateOverhead
 	assert.Equal(t, namesOf(queue.pick(one, 8)), "c")
 }
 
-func TestRumorIsReplaced(t *testing.T) {
+func TestUpdateIsReplaced(t *testing.T) {
 	queue := newUpdateQueue()
-	queue.add(rumorAbout("a", 1), 0)
-	queue.add(rumorAbout("a", 2), 0)
+	queue.add(updateAbout("a", 1), 0)
+	queue.add(updateAbout("a", 2), 0)
 	picked := queue.pick(updateBytes, 8)
 	assert.Equal(t, len(picked), 1)
 	assert.Equal(t, picked[0].Incarnation, uint64(2))
 }
 
-func TestRumorHeardAgainIsToldLess(t *testing.T) {
+func TestUpdateHeardAgainIsToldLess(t *testing.T) {
 	queue := newUpdateQueue()
-	queue.add(rumorAbout("a", 1), 0)
+	queue.add(updateAbout("a", 1), 0)
 	same := report{Member: Member{Name: "a", Incarnation: 1}}
 	older := report{Member: Member{Name: "a"}}
 	queue.heardAgain(older)
@@ -55,7 +55,7 @@
 	assert.Assert(t, queue.empty())
 }
 
-func TestRumorsStayWithinTheirBounds(t *testing.T) {
+func TestUpdatesStayWithinTheirBounds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		queue := newUpdateQueue()
 		limit := rapid.IntRange(1, 6).Draw(t, "limit")
@@ -63,7 +63,7 @@
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			if rapid.Bool().Draw(t, "add") {
 				name := rapid.StringMatching(`[a-f]{1,300}`).Draw(t, "name")
-				queue.add(rumorAbout(name, 1), 0)
+				queue.add(updateAbout(name, 1), 0)
 				told[name] = 0
 				continue
 			}
