--- a/internal/chain/latency_test.go
+++ b/internal/chain/latency_test.go
@@ -66,3 +66,25 @@
 	}
 	return gaps
 }
+
+// A read is answered as soon as the process that was asked holds what the answer rests on, also while many changes go through.
+func TestReadsDoNotWaitForTheirRepetition(t *testing.T) {
+	s := settled(t, 3, 5)
+	s.trouble.spreadDelay = 10 * time.Millisecond
+	s.manyChanges(4 * time.Millisecond)
+	s.run(500 * time.Millisecond)
+	longest, answered := time.Duration(0), 0
+	const reads = 40
+	for number := range reads {
+		asked := s.now
+		s.processes[number%len(s.processes)].read(func(answer Answer) {
+			assert.Assert(t, answer.Known)
+			longest, answered = max(longest, s.now.Sub(asked)), answered+1
+		})
+		s.run(50 * time.Millisecond)
+	}
+	s.run(time.Second)
+	assert.Equal(t, answered, reads)
+	t.Logf("a read took %v at most", longest)
+	assert.Assert(t, longest < readRetry)
+}
--- a/internal/chain/propose_test.go
+++ b/internal/chain/propose_test.go
@@ -64,3 +64,33 @@
 		assert.Equal(t, view.Head(), Identity("seventh"))
 	}
 }
+
+// A chain has a member of another zone than its head's wherever there is one, be it the last choice for all else.
+func TestChainReachesAnotherZone(t *testing.T) {
+	member := func(name, zone string) Member {
+		return Member{Identity: Identity(name), Name: name, Zone: zone, Region: "r"}
+	}
+	head := member("head", "a")
+	of := func(members ...Member) (candidates []chainCandidate) {
+		for _, each := range members {
+			candidates = append(candidates, chainCandidate{member: each})
+		}
+		return candidates
+	}
+	near, nearer, far, farther := member("near", "a"), member("nearer", "a"), member("far", "b"), member("farther", "c")
+	for _, c := range []struct {
+		name       string
+		candidates []chainCandidate
+		length     int
+		want       []Member
+	}{
+		{"the best is elsewhere", of(far, near), 2, []Member{far}},
+		{"the last is elsewhere", of(near, nearer, far), 2, []Member{far}},
+		{"the last of a longer chain makes room", of(near, nearer, far, farther), 3, []Member{near, far}},
+		{"one of those chosen is elsewhere", of(near, far, farther), 3, []Member{near, far}},
+		{"nobody is elsewhere", of(near, nearer), 2, []Member{near}},
+		{"the head alone", of(near, far), 1, nil},
+	} {
+		assert.DeepEqual(t, chooseMembers(head, c.candidates, c.length), c.want)
+	}
+}
