Tell the figures of control at GET /metrics

Need: operators see the state of the core by `wallflow status` alone, which no monitoring reads; the issue asks for text figures in the usual exposition format by its library.

--- a/internal/control/api.go
+++ b/internal/control/api.go
@@ -28,6 +28,7 @@
 	router.DELETE("/instances/:id", p.leave)
 	router.GET("/healthz", p.health)
 	router.GET("/status", p.status)
+	router.GET("/metrics", p.metrics)
 	return router
 }
 
