Add leaving in order to the schedules of every fault at every event

Need: the schedules killed, cut, wiped and froze, and never told a process to stop; leaving had a fault that chance did not find.

Change: the kind leave, alone and in pairs with every other kind. Three voters keep the past as in service, five as little as possible.

--- a/internal/chain/schedule_test.go
+++ b/internal/chain/schedule_test.go
@@ -25,11 +25,12 @@
 	faultHang                      // its disk answers nothing
 	faultFreeze                    // it stands still
 	faultWipeDark                  // it comes back with an empty disk, and all others lose power at the same moment
+	faultLeave                     // it is told to stop, leaves the chain and ends, and comes back
 	faultKinds
 )
 
 func (k faultKind) String() string {
-	return [...]string{"kill", "power", "wipe", "cut", "mute", "deaf", "hang", "freeze", "wipe dark"}[k]
+	return [...]string{"kill", "power", "wipe", "cut", "mute", "deaf", "hang", "freeze", "wipe dark", "leave"}[k]
 }
 
 // wipes tells of the faults that take a disk away.
@@ -48,6 +49,7 @@
 	scheduleWarm   = 4 * time.Second // until a view stands and commands go through
 	scheduleAway   = 300 * time.Millisecond
 	scheduleLasts  = 1200 * time.Millisecond // a cut, a hanging disk
+	scheduleLeaves = 700 * time.Millisecond  // after which one that was told to stop ends, out of the chain or not
 	scheduleWindow = 1500 * time.Millisecond
 )
 
@@ -68,6 +70,18 @@
 			w.after(scheduleAway, func() { w.startOne(each) })
 		}
 		p.wipe()
+	case faultLeave:
+		if !p.up || p.frozen {
+			return
+		}
+		life := p.life
+		p.carryOut(p.node.Leave(w.now))
+		w.after(scheduleLeaves, func() {
+			if p.life == life {
+				p.kill(false)
+				w.after(scheduleAway, func() { w.startOne(p) })
+			}
+		})
 	case faultHang:
 		p.hanging = true
 		w.after(scheduleLasts, func() { p.hanging = false })
@@ -94,6 +108,7 @@
 // many events the window has.
 func playSchedule(t *testing.T, voters int, planted mistakes, faults ...scheduled) (broken []string, events int) {
 	w := newWalk(t, 7, voters, voters, seededChooser(7))
+	w.retention = retentions[(voters/2)%2] // with five as little as possible is kept
 	for _, p := range w.processes {
 		p.mistakes = planted
 	}
