End the tests of a drawn mistake when their time is over

Cause: a mistake that lets a test run for ever had go test ended after five minutes, and the test's own process left running.

Change: the tests are given the bound; go test has two minutes more, for building.

--- a/internal/mutation/main.go
+++ b/internal/mutation/main.go
@@ -17,6 +17,8 @@
 const (
 	// testTimeout bounds one run of a package's tests.
 	testTimeout = 5 * time.Minute
+	// buildTimeout is what building them may take on top.
+	buildTimeout = 2 * time.Minute
 	// testMemory is what a run may take, since a mistake may have it grow without end.
 	testMemory = "3GiB"
 )
@@ -84,9 +86,10 @@
 	if err != nil {
 		return "", err
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout+buildTimeout)
 	defer cancel()
-	arguments := append([]string{"test", "-overlay", overlay, "-failfast"}, each.packages...)
+	// The tests end themselves when their time is over: who ends go test alone leaves them running.
+	arguments := append([]string{"test", "-overlay", overlay, "-failfast", "-timeout", testTimeout.String()}, each.packages...)
 	command := exec.CommandContext(ctx, "go", arguments...)
 	command.Env = append(os.Environ(), "GOMEMLIMIT="+testMemory)
 	output, err := command.CombinedOutput()
