Count overlapping losses in walks until all machines are back

TestOverlapLastsUntilAllAreBack: an overlap lasts and ends, a later loss is held against the core at once.

--- a/internal/control/world_cut_test.go
+++ b/internal/control/world_cut_test.go
@@ -243,3 +243,31 @@
 		assert.Equal(t, len(w.broken), 0, "%v", w.broken)
 	}
 }
+
+// Where a second machine is lost before the first has been back for syncS, in a core that bears one, service may rest until recoveryS after
+// both are back, and not longer. A second loss that comes later is held against the core at once.
+func TestOverlapLastsUntilAllAreBack(t *testing.T) {
+	for _, late := range []bool{false, true} {
+		w := newWorld(t, 4, worldOptions{controls: 3, zones: 3, relays: 2, endpoints: 2, tolerate: 1})
+		w.run(6 * time.Second)
+		first, second := w.controls[0], w.controls[1]
+		first.wipe()
+		w.after(time.Second, func() { first.start(false) })
+		sync := time.Duration(w.bounds.SyncS * float64(time.Second))
+		apart := 2 * time.Second
+		if late {
+			apart = time.Second + sync + time.Second
+		}
+		w.run(apart)
+		w.isolate(second.machine, true, true, everyone)
+		w.run(w.bounds.Contact() + sync)
+		assert.Equal(t, w.overlapped, !late)
+		assert.Equal(t, w.inTouch(w.relays[0].machine), late)
+		w.join(0)
+		w.run(w.bounds.Contact() + time.Second)
+		assert.Assert(t, !w.overlapped)
+		w.run(time.Duration(w.bounds.RecoveryS * float64(time.Second)))
+		assert.Assert(t, w.inTouch(w.relays[0].machine))
+		assert.Equal(t, len(w.broken), 0, "%v", w.broken)
+	}
+}
