--- a/internal/control/world_trouble_test.go
+++ b/internal/control/world_trouble_test.go
@@ -59,6 +59,7 @@
 		w.isolate(c.machine, true, true, func(other *machine) bool { return w.isControl(other) && side[other] != side[c.machine] })
 	}
 	w.wholeCoreUntil = w.now.Add(time.Hour)
+	w.halved = true
 }
 
 // calm tells whether the core had the time to get over the last loss.
@@ -205,6 +206,7 @@
 func (w *world) join(time.Duration) {
 	clear(w.cut)
 	w.wholeCoreUntil = w.now
+	w.halved = false
 	for _, m := range w.machines {
 		w.disturb(m)
 	}
