Show by a red test that endpoints stay with a control process that is cut off

Need: a walk whose control process found nobody showed it: its endpoint went on calling it, was answered with 200, and was gone for all others. An endpoint calls the next process where it gets no 2xx.

Measured: it fails with 200 where 503 is wanted.

--- a/internal/control/world_cut_test.go
+++ b/internal/control/world_cut_test.go
@@ -4,7 +4,9 @@
 	"flag"
 	"fmt"
 	"net/http"
+	"net/http/httptest"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -271,3 +273,24 @@
 		assert.Equal(t, len(w.broken), 0, "%v", w.broken)
 	}
 }
+
+// An endpoint that calls a control process which is cut off from the others has to learn that it should call another: the others hear
+// nothing of it meanwhile, and hold it for silent and then for gone. What it says is taken in all the same.
+func TestHeartbeatAtAProcessThatIsCutOffIsNotAcknowledged(t *testing.T) {
+	w := newWorld(t, 1, worldOptions{controls: 3, zones: 3, relays: 2, endpoints: 2, tolerate: 1})
+	w.run(8 * time.Second)
+	call := func(c *controlMachine, seq int) int {
+		body := fmt.Sprintf(`{"backend":"b","address":"10.9.9.9:80","zone":%q,"state":"ready","slots":4,"seq":%d}`, c.zone, seq)
+		recorder := httptest.NewRecorder()
+		c.process.ControlHandler().ServeHTTP(recorder, httptest.NewRequest(http.MethodPut, "/instances/extra", strings.NewReader(body)))
+		return recorder.Code
+	}
+	cutOff, other := w.controls[0], w.controls[1]
+	assert.Equal(t, call(cutOff, 1), http.StatusOK)
+	w.isolate(cutOff.machine, true, true, w.isControl)
+	w.run(5 * time.Second)
+	_, held := cutOff.process.instances.Instance("extra")
+	assert.Assert(t, held)
+	assert.Equal(t, call(other, 2), http.StatusOK)
+	assert.Equal(t, call(cutOff, 3), http.StatusServiceUnavailable)
+}
