Wait for the old process to hand over before it is asked

Change: the test waits until the old process says that it is not ready, and asks once more later, when messages have gone through both.

--- a/cmd/cherrytrestle/running_test.go
+++ b/cmd/cherrytrestle/running_test.go
@@ -193,9 +193,8 @@
 func TestASecondProcessTakesOver(t *testing.T) {
 	r, p, h, answer := replaced(t)
 	next := r.beside(p)
-	if got := manage(t, r.mgmt, "status"); got != "NO\n" {
-		t.Errorf("the old process says %q", got)
-	}
+	// The new one serves a moment before the old one has taken the step in which it hands over.
+	eventually(t, "the old process not ready", func() bool { return manage(t, r.mgmt, "status") == "NO\n" })
 	r.take("m3", 12*time.Second) // on the connection kept to the old one
 	next.take("m4", 12*time.Second)
 	if got := figure(t, next.mgmt, "relay.active"); got != "4" {
@@ -204,6 +203,9 @@
 	if n := h.count("m2") + h.count("m3") + h.count("m4"); n != 0 {
 		t.Errorf("%d calls beside the one that holds the slot", n)
 	}
+	if got := manage(t, r.mgmt, "status"); got != "NO\n" {
+		t.Errorf("later the old process says %q", got)
+	}
 	must(t, r.cmd.Process.Signal(syscall.SIGTERM))
 	close(answer)
 	eventually(t, "all delivered, and counted by the new process", func() bool {
