Give each relay of the tests a loopback host of its own

A port that was free on 127.0.0.1 went to a connection of another test process before the relay listened.

Change: freeAddr draws a host within 127.0.0.0/8, on which nothing else opens ports.

--- a/cmd/cherrytrestle/main_test.go
+++ b/cmd/cherrytrestle/main_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -197,9 +198,11 @@
 	client *http.Client
 }
 
-// freeAddr is a loopback address that nobody listens on.
+// freeAddr is a loopback address that nobody listens on. It is of a host of its own: on 127.0.0.1 the port may go to a connection of
+// another process before the relay has it.
 func freeAddr(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	host := fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(250), rand.IntN(250), 2+rand.IntN(250))
+	l, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
 	must(t, err)
 	defer l.Close()
 	return l.Addr().String()
