Share the play of a change that spreads between two tests of swim

Need: the new test had the lines of TestMetaSpreads once more.

Change: stopServing in network_test.go; the bounds of both tests are as they were.

--- a/internal/swim/network_test.go
+++ b/internal/swim/network_test.go
@@ -281,6 +281,24 @@
 	return true
 }
 
+// stopServing has a member tell that it does not serve any more, and returns how long it takes until all know.
+func (n *network) stopServing(changed *machine, limit time.Duration) time.Duration {
+	n.t.Helper()
+	meta := changed.self.Meta
+	meta.Serving = false
+	n.deliver(changed, changed.node.SetMeta(n.clock(changed), meta))
+	took, ok := n.runUntil(limit, func() bool {
+		for _, each := range n.running() {
+			if member, _ := each.node.Find(changed.self.Name); member.Meta.Serving {
+				return false
+			}
+		}
+		return true
+	})
+	assert.Assert(n.t, ok)
+	return took
+}
+
 // deaths counts how often running machines took each other for dead since their start.
 func (n *network) deaths() int {
 	count := 0
--- a/internal/swim/node_test.go
+++ b/internal/swim/node_test.go
@@ -304,19 +304,7 @@
 
 func TestMetaSpreads(t *testing.T) {
 	n := settled(t, 12, 30)
-	changed := n.all[5]
-	meta := changed.self.Meta
-	meta.Serving = false
-	n.deliver(changed, changed.node.SetMeta(n.now, meta))
-	took, ok := n.runUntil(2*time.Second, func() bool {
-		for _, each := range n.running() {
-			if member, _ := each.node.Find(changed.self.Name); member.Meta.Serving {
-				return false
-			}
-		}
-		return true
-	})
-	assert.Assert(t, ok)
+	took := n.stopServing(n.all[5], 2*time.Second)
 	t.Logf("known to all after %v", took)
 	assert.Assert(t, took < time.Second, "%v", took)
 }
--- a/internal/swim/spread_test.go
+++ b/internal/swim/spread_test.go
@@ -15,20 +15,7 @@
 	total := time.Duration(0)
 	for seed := range uint64(fleets) {
 		n := settled(t, seed, 120)
-		changed := n.all[seed]
-		meta := changed.self.Meta
-		meta.Serving = false
-		n.deliver(changed, changed.node.SetMeta(n.clock(changed), meta))
-		took, ok := n.runUntil(5*time.Second, func() bool {
-			for _, each := range n.running() {
-				if member, _ := each.node.Find(changed.self.Name); member.Meta.Serving {
-					return false
-				}
-			}
-			return true
-		})
-		assert.Assert(t, ok)
-		total += took
+		total += n.stopServing(n.all[seed], 5*time.Second)
 	}
 	t.Logf("known to all after %v in the mean", total/fleets)
 	assert.Assert(t, total/fleets < 500*time.Millisecond, "%v", total/fleets)
