Bound what a hub tells its zone by its machine's link

Change: words between hubs and to relays name the endpoints whose load has changed, those that changed most first, as many as a quarter of the link carries; the others are named again within a second. A receiver that missed a word asks for a whole one. Words to relays are the sum over all, the receiver's part taken away by itself, so that one word is worked out for all of them.

--- a/internal/dataplane/process.go
+++ b/internal/dataplane/process.go
@@ -109,7 +109,11 @@
 		Self:       set.InternalAddress(),
 		ApplyPatch: config.ApplyTrustedPatch,
 	}, now)
-	p.loads = workload.New(workload.Member{Address: set.InternalAddress(), Zone: set.Zone}, seed)
+	p.loads = workload.New(workload.Options{
+		Self:      workload.Member{Address: set.InternalAddress(), Zone: set.Zone},
+		Life:      seed,
+		LinkBytes: set.Limits.LinkBytes(),
+	})
 	p.home = distribution.NewPublisher(set.Node+now.Format(time.RFC3339Nano), now)
 	p.server = proxy.New(p.serverOptions())
 	mesh, err := transport.Listen(transport.Options{Address: set.InternalAddress(), Handler: p.receive, Logger: log})
--- a/internal/experiment/sharing.go
+++ b/internal/experiment/sharing.go
@@ -28,7 +28,7 @@
 		s.relays[relayAddress(relay)] = relay
 	}
 	for relay, member := range members {
-		node := workload.New(member, uint64(relay)+1)
+		node := workload.New(workload.Options{Self: member, Life: uint64(relay) + 1})
 		node.SetMembers(members)
 		s.nodes = append(s.nodes, node)
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -67,6 +67,9 @@
 	DiskMB   float64 // 0: no disk
 }
 
+// LinkBytes is how many bytes the machine's link carries in a second.
+func (l Limits) LinkBytes() float64 { return l.LinkMbps * 1e6 / 8 }
+
 // Tolerate says what may be lost at one time while all rules hold.
 type Tolerate struct {
 	Machines int // of those that count for the quorum
--- a/internal/workload/example_test.go
+++ b/internal/workload/example_test.go
@@ -11,7 +11,10 @@
 	now := time.Unix(0, 0)
 	one := workload.Member{Address: "10.0.0.1:7720", Zone: "a"}
 	two := workload.Member{Address: "10.0.0.2:7720", Zone: "a"}
-	nodes := map[string]*workload.Node{one.Address: workload.New(one, 1), two.Address: workload.New(two, 2)}
+	nodes := map[string]*workload.Node{
+		one.Address: workload.New(workload.Options{Self: one, Life: 1}),
+		two.Address: workload.New(workload.Options{Self: two, Life: 2}),
+	}
 	for _, node := range nodes {
 		node.SetMembers([]workload.Member{one, two})
 	}
--- a/internal/workload/load.go
+++ b/internal/workload/load.go
@@ -1,8 +1,8 @@
 package workload
 
 import (
-	"cmp"
 	"maps"
+	"math"
 	"slices"
 
 	"wallflow/internal/workload/workloadpb"
@@ -22,62 +22,51 @@
 // Loads is the load by endpoint. Those without any are left out.
 type Loads map[Key]Load
 
-// add adds another sum.
-func (l Loads) add(other Loads) {
-	for key, load := range other {
-		sum := l[key]
-		sum.Requests += load.Requests
-		sum.Unread += load.Unread
-		sum.Held += load.Held
-		sum.Overdue += load.Overdue
-		l[key] = sum
-	}
+// Weights of a change of load, as parts of one request.
+const (
+	unreadWeight  = 1.0 / 1024  // a token to be read; a thousand take some 25 ms
+	heldWeight    = 1.0 / 16384 // a token of memory
+	overdueWeight = 4.0         // an answer that is overdue
+)
+
+// add adds another load.
+func (l *Load) add(other Load) {
+	l.Requests += other.Requests
+	l.Unread += other.Unread
+	l.Held += other.Held
+	l.Overdue += other.Overdue
 }
 
-// without is the sum less one of its parts.
-func (l Loads) without(part Loads) Loads {
-	if len(part) == 0 {
-		return l
-	}
-	rest := maps.Clone(l)
-	for key, load := range part {
-		left := rest[key]
-		left.Requests -= load.Requests
-		left.Unread -= load.Unread
-		left.Held -= load.Held
-		left.Overdue -= load.Overdue
-		if left.Requests <= 0 && left.Unread <= 0 && left.Held <= 0 {
-			delete(rest, key)
-			continue
-		}
-		rest[key] = left
-	}
-	return rest
+// subtract takes a part of the load away. What was told at another time may be less than the part: nothing is left then.
+func (l *Load) subtract(part Load) {
+	l.Requests = max(0, l.Requests-part.Requests)
+	l.Unread = max(0, l.Unread-part.Unread)
+	l.Held = max(0, l.Held-part.Held)
+	l.Overdue = max(0, l.Overdue-part.Overdue)
 }
 
+// distance is how much two loads differ, in requests.
+func (l Load) distance(other Load) float64 {
+	difference := func(a, b int) float64 { return math.Abs(float64(a - b)) }
+	return difference(l.Requests, other.Requests) + unreadWeight*difference(l.Unread, other.Unread) +
+		heldWeight*difference(l.Held, other.Held) + overdueWeight*difference(l.Overdue, other.Overdue)
+}
+
+// isAny tells whether there is a load at all.
+func (l Load) isAny() bool { return l != Load{} }
+
 // matters tells whether other zones are told of a load.
 func (l Load) matters() bool {
 	return l.Requests >= zoneRequests || l.Unread >= zoneUnread || l.Overdue > 0
 }
 
-// significant is the loads that other zones are told of, the most to be read first, most of them at the most.
-func (l Loads) significant(most int) Loads {
-	chosen := make(Loads)
-	for key, load := range l {
-		if load.matters() {
-			chosen[key] = load
-		}
-	}
-	if len(chosen) <= most {
-		return chosen
-	}
-	keys := slices.SortedFunc(maps.Keys(chosen), func(a, b Key) int {
-		return cmp.Or(cmp.Compare(chosen[b].Overdue, chosen[a].Overdue), cmp.Compare(chosen[b].Unread, chosen[a].Unread), cmp.Compare(chosen[b].Requests, chosen[a].Requests), cmp.Compare(a, b))
-	})
-	for _, key := range keys[most:] {
-		delete(chosen, key)
+// add adds another sum.
+func (l Loads) add(other Loads) {
+	for key, load := range other {
+		sum := l[key]
+		sum.add(load)
+		l[key] = sum
 	}
-	return chosen
 }
 
 func (l Loads) encode() *workloadpb.Loads {
--- a/internal/workload/node.go
+++ b/internal/workload/node.go
@@ -15,10 +15,19 @@
 	// ZoneEvery is the least time between two words to another zone while there are no more than zonesUsual zones.
 	ZoneEvery  = 60 * time.Millisecond
 	zonesUsual = 8
-	// repeatEvery is after how long a word is sent again though nothing has changed, and forgetAfter when one counts no more: after two
-	// that were lost.
+	// repeatEvery is after how long a word is sent though nothing has changed, and forgetAfter when a sender that is silent counts no
+	// more: after two words that were lost.
 	repeatEvery = 500 * time.Millisecond
 	forgetAfter = 1600 * time.Millisecond
+	// entryRepeat is after how long an endpoint is named again though its load has not changed, and entryExpiry when a load that was not
+	// named again counts no more.
+	entryRepeat = time.Second
+	entryExpiry = 4 * time.Second
+	// wordSpan bounds the pause after a word: what does not fit into that time's share of the link waits for the next one.
+	wordSpan = 100 * time.Millisecond
+	// leastChange and leastZoneChange are the changes, in requests, from which an endpoint is named at once.
+	leastChange     = 1
+	leastZoneChange = 2
 
 	// sumsEvery is the least time between two tellings of sums: they change slowly.
 	sumsEvery = 500 * time.Millisecond
@@ -32,6 +41,14 @@
 	entriesMost = 1 << 15
 	loadMost    = 1 << 28
 
+	// linkShare is the share of a machine's link that its words may take within the zone, and as much again between zones.
+	linkShare = 0.25
+	// messageOverhead is about what a message takes on the wire beside its loads, and entryBytes what an endpoint in it takes.
+	messageOverhead = 80
+	entryBytes      = 12
+	// entriesLeast is how many endpoints a word may name however slow the link is.
+	entriesLeast = 8
+
 	// hubKey is the key by which the hub of a zone is chosen among its relays.
 	hubKey = "workload"
 )
@@ -48,23 +65,23 @@
 	Message *workloadpb.Message
 }
 
-// word is the newest that a sender said.
-type word struct {
-	loads    Loads
-	sums     Sums
-	at       time.Time
-	life     uint64
-	sequence uint64
-}
-
 // told is what a receiver was told last.
 type told struct {
-	loads    Loads
-	at       time.Time
+	begun    bool   // it has a whole word
+	sequence uint64 // of the last message
 	sumsAt   time.Time
 	readings uint64 // place in the queue
 }
 
+// spoken is an own word, kept so that a relay can tell what part of its zone's sum is its own.
+type spoken struct {
+	sequence uint64
+	loads    Loads
+}
+
+// spokenKept bounds the own words that are kept: the hub's sum is no older than that.
+const spokenKept = 64
+
 // Word is what a relay tells of itself.
 type Word struct {
 	Loads    Loads     // what it has at endpoints now
@@ -72,9 +89,19 @@
 	Readings []Reading // since the word before
 }
 
+// Options are the settings of a Node.
+type Options struct {
+	Self Member
+	// Life differs between lives of the process.
+	Life uint64
+	// LinkBytes is how many bytes the machine's link carries in a second; 0: as many as wanted.
+	LinkBytes float64
+}
+
 // Node is one relay's part. It is not safe for use by several goroutines.
 type Node struct {
 	self     Member
+	link     float64 // bytes a second
 	life     uint64
 	sequence uint64
 
@@ -83,17 +110,28 @@
 	hubs  map[string]string // zone by address of its hub, without the own
 
 	own    Word
+	spoken []spoken // to the hub, the oldest first
 	queue  readingQueue
 	heard  []Reading        // of other relays, since TakeReadings
-	relays map[string]*word // hub: by relay of the zone
-	zones  map[string]*word // hub: by address of the other hubs
-	others *word            // from the hub; nil: nothing was heard
+	relays map[string]*view // hub: by relay of the zone
+	zones  map[string]*view // hub: by address of the other hubs
+	others *view            // from the hub, less the own part; nil: nothing was heard
 	told   map[string]*told // by receiver
+
+	toPeers audience  // hub: the relays of the zone
+	toHubs  audience  // hub: the other hubs
+	toHub   time.Time // relay: when the hub was told last
+	pauseTo time.Time // relay: until when the hub is told nothing
 }
 
-// New returns a Node that knows no other relay. The life differs between lives of the process.
-func New(self Member, life uint64) *Node {
-	n := &Node{self: self, life: life, relays: make(map[string]*word), zones: make(map[string]*word), told: make(map[string]*told)}
+// New returns a Node that knows no other relay.
+func New(options Options) *Node {
+	self := options.Self
+	n := &Node{
+		self: self, life: options.Life, link: options.LinkBytes,
+		relays: make(map[string]*view), zones: make(map[string]*view), told: make(map[string]*told),
+	}
+	n.beginAudiences()
 	n.SetMembers([]Member{self})
 	return n
 }
@@ -112,15 +150,27 @@
 			n.hubs[distribution.Home(zone, addresses, hubKey)] = zone
 		}
 	}
+	was := n.hub
 	n.hub = distribution.Home(n.self.Zone, zones[n.self.Zone], hubKey)
+	if n.hub != was {
+		n.beginAudiences()
+	}
 	n.peers = slices.Sorted(slices.Values(zones[n.self.Zone][1:]))
 	n.forgetAbsent()
 }
 
+// beginAudiences forgets what was told as the hub of the zone.
+func (n *Node) beginAudiences() {
+	n.toPeers = newAudience(leastChange, Load.isAny)
+	n.toHubs = newAudience(leastZoneChange, Load.matters)
+	clear(n.told)
+	n.spoken = nil
+}
+
 // forgetAbsent drops what is known of, or was told to, relays that are no longer there.
 func (n *Node) forgetAbsent() {
-	maps.DeleteFunc(n.relays, func(address string, _ *word) bool { return !n.isHub() || !slices.Contains(n.peers, address) })
-	maps.DeleteFunc(n.zones, func(address string, _ *word) bool { return !n.isHub() || n.hubs[address] == "" })
+	maps.DeleteFunc(n.relays, func(address string, _ *view) bool { return !n.isHub() || !slices.Contains(n.peers, address) })
+	maps.DeleteFunc(n.zones, func(address string, _ *view) bool { return !n.isHub() || n.hubs[address] == "" })
 	maps.DeleteFunc(n.told, func(address string, _ *told) bool {
 		return address != n.hub && !slices.Contains(n.peers, address) && n.hubs[address] == ""
 	})
@@ -132,192 +182,28 @@
 func (n *Node) Tick(now time.Time, own Word) []Send {
 	n.own = own
 	n.queue.add(n.self.Address, own.Readings)
-	if n.isHub() {
-		return n.tellAll(now)
+	if !n.isHub() {
+		return n.tellHub(now)
 	}
-	return n.tell(nil, now, n.hub, telling{every: LocalEvery, loads: own.Loads, sums: func() Sums { return own.Sums }, as: asRelay})
-}
-
-// telling is a word for one receiver.
-type telling struct {
-	every   time.Duration // since the last one at least
-	loads   Loads
-	sums    func() Sums
-	ownZone bool // the readings of the own zone alone
-	as      func(*workloadpb.Message, *workloadpb.Loads)
-}
-
-// tellAll is what a hub says.
-func (n *Node) tellAll(now time.Time) []Send {
 	zone := n.sumOfZone(now)
 	all := n.sumOfZones(now)
 	all.add(zone)
-	var sends []Send
-	for _, peer := range n.peers {
-		var part Loads
-		if said := n.relays[peer]; said.fresh(now) {
-			part = said.loads
-		}
-		sends = n.tell(sends, now, peer, telling{
-			every: LocalEvery,
-			loads: all.without(part),
-			sums:  func() Sums { return n.sumsBut(now, peer) },
-			as:    asOthers,
-		})
-	}
-	shown := zone.significant(zoneEntries)
-	for _, hub := range slices.Sorted(maps.Keys(n.hubs)) {
-		sends = n.tell(sends, now, hub, telling{
-			every:   n.zoneEvery(),
-			loads:   shown,
-			sums:    func() Sums { return n.sumsOfZone(now) },
-			ownZone: true,
-			as:      asZone,
-		})
-	}
-	return sends
-}
-
-// zoneEvery grows with the number of zones, so that what a hub sends stays bounded.
-func (n *Node) zoneEvery() time.Duration {
-	return ZoneEvery * time.Duration(max(1, (len(n.hubs)+zonesUsual-1)/zonesUsual))
-}
-
-func asRelay(message *workloadpb.Message, loads *workloadpb.Loads)  { message.Relay = loads }
-func asZone(message *workloadpb.Message, loads *workloadpb.Loads)   { message.Zone = loads }
-func asOthers(message *workloadpb.Message, loads *workloadpb.Loads) { message.Others = loads }
-
-// tell adds a word to a receiver, if it is time for one and it says something new, or the last is old.
-func (n *Node) tell(sends []Send, now time.Time, to string, t telling) []Send {
-	last := n.told[to]
-	if last == nil {
-		last = &told{}
-		n.told[to] = last
-	}
-	since := now.Sub(last.at)
-	if since < t.every {
-		return sends
-	}
-	readings, place := n.queue.after(last.readings, func(from string) bool {
-		return from != to && (!t.ownZone || n.hubs[from] == "")
+	sends := n.tellAll(nil, now, telling{
+		audience: &n.toPeers, receivers: n.peers, every: LocalEvery, loads: all, most: entriesMost,
+		sums: func(to string) Sums { return n.sumsBut(now, to) },
+		put: func(message *workloadpb.Message, to string, loads *workloadpb.Loads) {
+			message.All, message.Heard = loads, n.heardOf(now, to)
+		},
+	})
+	zoneSums := n.sumsOfZone(now)
+	return n.tellAll(sends, now, telling{
+		audience: &n.toHubs, receivers: slices.Sorted(maps.Keys(n.hubs)), every: n.zoneEvery(), loads: zone, most: zoneEntries,
+		ownZone: true,
+		sums:    func(string) Sums { return zoneSums },
+		put: func(message *workloadpb.Message, to string, loads *workloadpb.Loads) {
+			message.Zone, message.Again = loads, n.zones[to] != nil && n.zones[to].missed
+		},
 	})
-	if since < repeatEvery && len(readings) == 0 && maps.Equal(last.loads, t.loads) {
-		last.readings = place
-		return sends
-	}
-	n.sequence++
-	message := &workloadpb.Message{Life: n.life, Sequence: n.sequence, Readings: encodeReadings(readings)}
-	t.as(message, t.loads.encode())
-	if now.Sub(last.sumsAt) >= sumsEvery {
-		last.sumsAt = now
-		message.Sums = t.sums().encode()
-	}
-	last.loads, last.at, last.readings = t.loads, now, place
-	return append(sends, Send{To: to, Message: message})
-}
-
-// Receive takes a word of another relay. One that is not from a relay that this one listens to, or came late, is passed over.
-func (n *Node) Receive(now time.Time, from string, message *workloadpb.Message) {
-	taken := false
-	switch {
-	case message.GetRelay() != nil && n.isHub() && slices.Contains(n.peers, from):
-		taken = take(n.relays, now, from, message, message.Relay)
-	case message.GetZone() != nil && n.isHub() && n.hubs[from] != "":
-		taken = take(n.zones, now, from, message, message.Zone)
-	case message.GetOthers() != nil && from == n.hub:
-		said := newWord(now, n.others, message, message.Others)
-		if taken = said != nil; taken {
-			n.others = said
-		}
-	}
-	if !taken {
-		return
-	}
-	readings := decodeReadings(message.Readings)
-	n.heard = append(n.heard, readings...)
-	if n.isHub() {
-		n.queue.add(from, readings)
-	}
-}
-
-func take(words map[string]*word, now time.Time, from string, message *workloadpb.Message, loads *workloadpb.Loads) bool {
-	said := newWord(now, words[from], message, loads)
-	if said != nil {
-		words[from] = said
-	}
-	return said != nil
-}
-
-// newWord is the word of a message; nil: it is older than the last, or can't be read.
-func newWord(now time.Time, last *word, message *workloadpb.Message, encoded *workloadpb.Loads) *word {
-	sameLife := last != nil && last.life == message.Life
-	if sameLife && message.Sequence <= last.sequence {
-		return nil
-	}
-	loads, ok := decode(encoded)
-	if !ok {
-		return nil
-	}
-	said := &word{loads: loads, at: now, life: message.Life, sequence: message.Sequence}
-	if len(message.Sums) > 0 {
-		said.sums = decodeSums(message.Sums)
-	} else if sameLife {
-		said.sums = last.sums
-	}
-	return said
-}
-
-func (w *word) fresh(now time.Time) bool { return w != nil && now.Sub(w.at) < forgetAfter }
-
-// sumOfZone is what the relays of the own zone have, this one included.
-func (n *Node) sumOfZone(now time.Time) Loads {
-	sum := maps.Clone(n.own.Loads)
-	if sum == nil {
-		sum = make(Loads)
-	}
-	addFresh(sum, now, n.relays)
-	return sum
-}
-
-// sumOfZones is what the relays of the other zones have.
-func (n *Node) sumOfZones(now time.Time) Loads {
-	sum := make(Loads)
-	addFresh(sum, now, n.zones)
-	return sum
-}
-
-func addFresh(sum Loads, now time.Time, words map[string]*word) {
-	for _, said := range words {
-		if said.fresh(now) {
-			sum.add(said.loads)
-		}
-	}
-}
-
-// sumsOfZone is what the answers to the relays of the own zone have told.
-func (n *Node) sumsOfZone(now time.Time) Sums {
-	sums := make(Sums)
-	sums.add(n.own.Sums)
-	addFreshSums(sums, now, n.relays)
-	return sums
-}
-
-// sumsBut is what the answers to all relays but one of the own zone have told.
-func (n *Node) sumsBut(now time.Time, relay string) Sums {
-	sums := n.sumsOfZone(now)
-	addFreshSums(sums, now, n.zones)
-	if said := n.relays[relay]; said.fresh(now) {
-		return sums.without(said.sums)
-	}
-	return sums
-}
-
-func addFreshSums(sums Sums, now time.Time, words map[string]*word) {
-	for _, said := range words {
-		if said.fresh(now) {
-			sums.add(said.sums)
-		}
-	}
 }
 
 // Others is what all other relays have at endpoints, and what their answers have told, as far as is known. Not ok: nothing is known, and
@@ -327,11 +213,13 @@
 		if !n.others.fresh(now) {
 			return nil, nil, false
 		}
-		return n.others.loads, n.others.sums, true
+		loads = make(Loads, len(n.others.loads))
+		n.others.addTo(loads, now)
+		return loads, n.others.sums, true
 	}
 	loads, sums = n.sumOfZones(now), make(Sums)
-	for _, words := range []map[string]*word{n.relays, n.zones} {
-		addFreshSums(sums, now, words)
+	for _, views := range []map[string]*view{n.relays, n.zones} {
+		addFreshSums(sums, now, views)
 	}
 	addFresh(loads, now, n.relays)
 	return loads, sums, true
@@ -354,8 +242,8 @@
 
 // Figures tells how much is known.
 func (n *Node) Figures(now time.Time) Figures {
-	count := func(words map[string]*word) (fresh int) {
-		for _, said := range words {
+	count := func(views map[string]*view) (fresh int) {
+		for _, said := range views {
 			if said.fresh(now) {
 				fresh++
 			}
--- a/internal/workload/node_test.go
+++ b/internal/workload/node_test.go
@@ -27,6 +27,8 @@
 	bytes   int // between zones
 	words   int // between zones
 	loss    float64
+	link    float64 // bytes a second of each machine
+	onSend  func(from string, send Send)
 	random  *rand.Rand
 }
 
@@ -37,15 +39,18 @@
 	encoded []byte
 }
 
-func newNetwork(t *testing.T, zones, perZone int) *network {
-	w := &network{t: t, now: start, down: map[string]bool{}, delay: 5 * time.Millisecond, random: rand.New(rand.NewPCG(1, 2))}
+func newNetwork(t *testing.T, zones, perZone int) *network { return newNetworkOf(t, zones, perZone, 0) }
+
+// newNetworkOf returns relays whose machines' links carry so many bytes a second; 0: as many as wanted.
+func newNetworkOf(t *testing.T, zones, perZone int, link float64) *network {
+	w := &network{t: t, link: link, now: start, down: map[string]bool{}, delay: 5 * time.Millisecond, random: rand.New(rand.NewPCG(1, 2))}
 	for zone := range zones {
 		for relay := range perZone {
 			w.members = append(w.members, Member{Address: fmt.Sprintf("10.%d.0.%d:1", zone, relay), Zone: fmt.Sprintf("z%d", zone)})
 		}
 	}
 	for index, member := range w.members {
-		w.nodes = append(w.nodes, New(member, uint64(index)+1))
+		w.nodes = append(w.nodes, New(Options{Self: member, Life: uint64(index) + 1, LinkBytes: w.link}))
 		w.own = append(w.own, Word{})
 	}
 	w.spreadMembers()
@@ -110,6 +115,9 @@
 		sends := node.Tick(w.now, w.own[index])
 		w.own[index].Readings = nil
 		for _, send := range sends {
+			if w.onSend != nil {
+				w.onSend(address, send)
+			}
 			encoded, err := proto.Marshal(send.Message)
 			assert.NilError(w.t, err)
 			if w.zoneOf(send.To) != w.zoneOf(address) {
@@ -223,11 +231,12 @@
 	assert.Assert(t, w.words <= 2*int(2*time.Second/ZoneEvery)+2, "%d words", w.words)
 	many := Loads{}
 	for key := range 3 * zoneEntries {
-		many[Key(key)] = Load{Requests: 1, Unread: key}
+		many[Key(key)] = Load{Requests: 1, Unread: key * 4}
 	}
-	shown := many.significant(zoneEntries)
+	hubs := newAudience(leastZoneChange, Load.matters)
+	shown := hubs.tell(w.now, many, hubs.changes(w.now, many, zoneEntries))
 	assert.Equal(t, len(shown), zoneEntries)
-	assert.Equal(t, shown[3*zoneEntries-1].Unread, 3*zoneEntries-1)
+	assert.Equal(t, shown[3*zoneEntries-1].Unread, 4*(3*zoneEntries-1))
 	_, small := shown[0]
 	assert.Assert(t, !small)
 }
