Probe other regions without updates, and correct senders that still suspect

And one of twelve fleets of 30 that lose one datagram in twenty took a live member for dead in a minute: all heard its refutation but one, whose suspicion ran out.

Change: across regions only probes in turn and gossip carry updates. A process that hears a suspicion which it knows to be refuted tells the sender so.

--- a/internal/swim/exchange.go
+++ b/internal/swim/exchange.go
@@ -148,7 +148,7 @@
 	}
 	gone := n.table.graves[n.random.IntN(len(n.table.graves))]
 	if holder := n.table.byAddress[gone.Address]; gone.Status == Dead && holder == gone {
-		n.ping(gone, nil)
+		n.ping(gone, nil, n.riding)
 	}
 }
 
--- a/internal/swim/node.go
+++ b/internal/swim/node.go
@@ -122,6 +122,7 @@
 		return n.take()
 	}
 	n.mergeAll(now, message)
+	n.correct(from, message)
 	switch message.GetType() {
 	case swimpb.Type_TYPE_PING:
 		n.onPing(from, message)
@@ -154,6 +155,21 @@
 	n.inExchange = false
 }
 
+// correct tells a sender that still suspects members that they have refuted since: it may be the one that the refutation missed, and
+// would declare them dead.
+func (n *Node) correct(from string, message *swimpb.Message) {
+	var newer []*swimpb.State
+	for _, state := range message.GetStates() {
+		known := n.table.byName[state.GetName()]
+		if state.GetStatus() == swimpb.Status_STATUS_SUSPECT && known != nil && known.Status == Alive && known.Incarnation > state.GetIncarnation() {
+			newer = append(newer, encodeMember(known.Member, "", true))
+		}
+	}
+	if len(newer) > 0 {
+		n.datagram(from, &swimpb.Message{Type: swimpb.Type_TYPE_GOSSIP, States: trim(newer)})
+	}
+}
+
 // Heard tells that a message came from a process over a connection, which counts as an acknowledgement: a connection needs
 // both directions.
 func (n *Node) Heard(now time.Time, address string) {
--- a/internal/swim/node_test.go
+++ b/internal/swim/node_test.go
@@ -107,8 +107,10 @@
 	}
 }
 
+// Without the correction of senders that still suspect a member, one in twelve of these fleets took a live member for dead: one that the
+// refutation had missed.
 func TestNoFalseDeathUnderLoss(t *testing.T) {
-	for seed := range uint64(5) {
+	for seed := range uint64(40) {
 		n := settled(t, seed, 30)
 		n.loss = 0.05
 		n.run(60 * time.Second)
--- a/internal/swim/probe.go
+++ b/internal/swim/probe.go
@@ -66,7 +66,11 @@
 	if open && claim == nil {
 		return
 	}
-	sequence := n.ping(target, claim)
+	states := n.riding
+	if outOfTurn {
+		states = n.ridingLightly
+	}
+	sequence := n.ping(target, claim, states)
 	if open {
 		return
 	}
@@ -83,8 +87,8 @@
 	})
 }
 
-// ping sends a ping and returns its sequence number.
-func (n *Node) ping(target *peer, claim *swimpb.State) uint32 {
+// ping sends a ping, with a claim that the target should refute or else with the states that ride along, and returns its sequence number.
+func (n *Node) ping(target *peer, claim *swimpb.State, riding func(*peer) []*swimpb.State) uint32 {
 	n.sequence++
 	message := &swimpb.Message{
 		Type:     swimpb.Type_TYPE_PING,
@@ -94,7 +98,7 @@
 	if claim != nil {
 		message.States = append(message.States, claim)
 	} else {
-		message.States = n.riding(target)
+		message.States = riding(target)
 	}
 	n.datagram(target.Address, message)
 	return n.sequence
@@ -145,7 +149,7 @@
 			Sequence:      open.sequence,
 			Target:        open.target.nameHash,
 			TargetAddress: open.target.Address,
-			States:        n.riding(helper),
+			States:        n.ridingLightly(helper),
 		})
 	}
 }
@@ -165,7 +169,7 @@
 		Type:     swimpb.Type_TYPE_ACK,
 		Sequence: message.GetSequence(),
 		Target:   message.GetTarget(),
-		States:   n.riding(asker),
+		States:   n.ridingLightly(asker),
 	}
 	if n.mustTellSelf(message) {
 		answer.States = append([]*swimpb.State{encodeMember(n.self.Member, "", true)}, answer.States...)
--- a/internal/swim/scale_test.go
+++ b/internal/swim/scale_test.go
@@ -67,3 +67,23 @@
 		assert.Equal(t, n.messageBytes, 0)
 	}
 }
+
+// A region that can be heard but hears nobody costs few bytes between regions: the probes that look for it carry no updates. With them
+// the cut took 56 MB.
+func TestCutRegionIsCheap(t *testing.T) {
+	t.Parallel()
+	n := settled(t, 6, 300)
+	n.bytes, n.crossBytes = 0, 0
+	n.blocked = func(from, to *machine) bool {
+		return from.self.Meta.Region == "takoradi" && to.self.Meta.Region != "takoradi"
+	}
+	n.run(6 * time.Second)
+	t.Logf("cut: %d bytes between regions of %d", n.crossBytes, n.bytes)
+	assert.Assert(t, n.crossBytes <= 14<<20, "%d", n.crossBytes)
+	n.crossBytes = 0
+	n.blocked = func(_, _ *machine) bool { return false }
+	took, ok := n.runUntil(10*time.Second, n.complete)
+	t.Logf("healed after %v, %d bytes between regions", took, n.crossBytes)
+	assert.Assert(t, ok)
+	assert.Assert(t, n.crossBytes <= 14<<20, "%d", n.crossBytes)
+}
--- a/internal/swim/updates.go
+++ b/internal/swim/updates.go
@@ -120,11 +120,27 @@
 	n.updates.add(state, told)
 }
 
-// riding returns the states that go along with a datagram: what is believed of the receiver if it is not thought alive, so
+// riding returns the states that go along with a probe or its answer: what is believed of the receiver if it is not thought alive, so
 // that it can refute, then updates.
-func (n *Node) riding(receiver *peer) []*swimpb.State {
+func (n *Node) riding(receiver *peer) []*swimpb.State { return n.ridingWithin(receiver, updateBytes) }
+
+// ridingLightly is riding for probes out of turn and for answers. To another region they carry no updates: when a region is lost or cut
+// off they are many, most come to nothing, and what crosses regions is dear.
+func (n *Node) ridingLightly(receiver *peer) []*swimpb.State {
+	if n.crosses(receiver) {
+		return n.ridingWithin(receiver, 0)
+	}
+	return n.riding(receiver)
+}
+
+// crosses reports whether a member is of another region.
+func (n *Node) crosses(receiver *peer) bool {
+	return receiver != nil && receiver.Meta.Region != n.self.Meta.Region
+}
+
+// ridingWithin is riding with so many bytes of room.
+func (n *Node) ridingWithin(receiver *peer, room int) []*swimpb.State {
 	var states []*swimpb.State
-	room := updateBytes
 	if receiver != nil && receiver.Status != Alive {
 		view := encodeMember(receiver.Member, "", false)
 		room -= proto.Size(view) + stateOverhead
