Count a connection that is to be opened in the choice of an endpoint

Change: an estimate has the round trip to connect and a fiftieth of the request's worth where no open connection rests; of a large tier a few endpoints that answered last are looked at beside those drawn by chance. Mechanism kept-connections.

--- a/internal/dataplane/process.go
+++ b/internal/dataplane/process.go
@@ -93,6 +93,7 @@
 		}),
 		WarmupOvershoot: set.Bounds.WarmupOvershoot,
 		WarmupSlack:     set.Bounds.WarmupSlack,
+		HasConnection:   p.pool.HasIdle,
 		Disabled:        disabled,
 	})
 	p.members = swim.New(swim.Options{
--- a/internal/selector/candidates.go
+++ b/internal/selector/candidates.go
@@ -98,6 +98,7 @@
 	if tier.groups != nil {
 		into = keepRanked(into)
 		into = s.draw(into, warm, chances)
+		into = s.addConnected(into, tier)
 	}
 	if affine && s.on(SharedOpenings) {
 		into = s.addKeepers(now, into, request, tier)
--- a/internal/selector/estimate.go
+++ b/internal/selector/estimate.go
@@ -59,6 +59,10 @@
 	}
 	e.wait += e.late
 	e.travel = s.travel(endpoint)
+	if !s.isConnected(endpoint) {
+		e.travel += s.travel(endpoint)
+		e.cost += connectionWorth * request.Route.TargetMs
+	}
 	e.cost += e.first()
 	if s.on(Prices) {
 		e.cost += s.prices(request, endpoint)
--- a/internal/selector/mechanism.go
+++ b/internal/selector/mechanism.go
@@ -30,6 +30,7 @@
 	Penalty         Mechanism = "penalty"          // failures cost an endpoint in comparisons
 	Suspicion       Mechanism = "suspicion"        // an overdue answer costs an endpoint in comparisons
 	Prices          Mechanism = "prices"           // bytes between zones and regions cost in comparisons
+	KeptConnections Mechanism = "kept-connections" // a connection that is to be opened costs its time and its price
 	Waiting         Mechanism = "waiting"          // a request waits for an endpoint instead of being refused at once
 	RetrySpread     Mechanism = "retry-spread"     // refused clients come back spread over time
 	ColdBound       Mechanism = "cold-bound"       // calls to cold endpoints are bounded (rule FAILBACK)
@@ -59,6 +60,7 @@
 	{Penalty, "failures cost nothing until an endpoint is skipped"},
 	{Suspicion, "overdue answers cost nothing until an endpoint is skipped"},
 	{Prices, "another region costs nothing but its distance"},
+	{KeptConnections, "an endpoint to which a connection is open is chosen like any other"},
 	{Waiting, "a request that no endpoint takes now is refused"},
 	{RetrySpread, "all refused clients are told the same wait"},
 	{ColdBound, "cold endpoints are called like warm ones by their owner; breaks rule FAILBACK"},
--- a/internal/selector/options.go
+++ b/internal/selector/options.go
@@ -21,6 +21,9 @@
 	WarmupOvershoot float64 // factor of the bound on a cold endpoint's requests
 	WarmupSlack     float64 // addend of that bound
 
+	// HasConnection tells whether an open connection to an instance waits for a request; nil: there always is one.
+	HasConnection func(instanceID string) bool
+
 	Engines EngineModel // how fast engines are until answers tell; zero: a usual engine
 	// RegionDelay is the time from one region to another, one way, until connections tell; zero: 40 ms.
 	RegionDelay time.Duration
--- a/internal/selector/outcome.go
+++ b/internal/selector/outcome.go
@@ -92,6 +92,7 @@
 // succeeded takes a whole answer.
 func (s *Selector) succeeded(now time.Time, attempt *Attempt) {
 	endpoint := attempt.endpoint
+	endpoint.tier.noteRecent(endpoint)
 	s.learnDuration(now, attempt)
 	endpoint.service.served.of(now, attempt.request.Route.Priority).served++
 	endpoint.heard(now)
--- a/internal/selector/tier.go
+++ b/internal/selector/tier.go
@@ -69,6 +69,7 @@
 	region  string
 	lists   [places][]*endpoint
 	groups  [][]*endpoint // of the warm ones, by hash; nil while they are few
+	recent  []*endpoint   // that answered this relay last, the newest last
 }
 
 const (
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 )
@@ -94,6 +95,15 @@
 	return stats
 }
 
+// HasIdle tells whether an open connection to an instance waits for a request.
+func (p *Pool) HasIdle(instanceID string) bool {
+	now := p.options.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known := p.endpoints[instanceID]
+	return known != nil && slices.ContainsFunc(known.idle, func(c *connection) bool { return now.Before(c.expires) })
+}
+
 // Forget closes the idle connections to an instance that is gone; those in use are closed after their exchange.
 func (p *Pool) Forget(instanceID string) {
 	p.mu.Lock()
