--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -14,7 +14,12 @@
 // metrics answers GET /metrics with the figures of this process in the text format of Prometheus. Like status it reads and changes
 // nothing, and asks no other process, so that it answers also where this process is cut off.
 func (p *Process) metrics(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
-	metrics.Write(w, metricFamilies(p.describe(p.clock()), p.counters()))
+	families := metricFamilies(p.describe(p.clock()), p.counters())
+	if p.mesh != nil {
+		sent := p.mesh.Counters()
+		families = append(families, sent.Families("wallflow_control")...)
+	}
+	metrics.Write(w, families)
 }
 
 func (p *Process) counters() chain.Counters {
--- a/internal/dataplane/metrics.go
+++ b/internal/dataplane/metrics.go
@@ -24,7 +24,9 @@
 	families := requestFamilies(p.server.Stats())
 	families = append(families, endpointFamilies(&counts)...)
 	families = append(families, speedFamilies(speeds)...)
-	return append(families, loadFamilies(loads)...)
+	families = append(families, loadFamilies(loads)...)
+	sent := p.mesh.Counters()
+	return append(families, sent.Families("wallflow_relay")...)
 }
 
 func requestFamilies(stats proxy.Stats) []*dto.MetricFamily {
