--- a/internal/control/process.go
+++ b/internal/control/process.go
@@ -2,29 +2,20 @@
 
 import (
 	"context"
-	crand "crypto/rand"
-	"encoding/binary"
-	"encoding/hex"
 	"log/slog"
 	"math/rand"
-	randv2 "math/rand/v2"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/gravitational/trace"
-	"google.golang.org/protobuf/proto"
 
 	"wallflow/internal/chain"
-	"wallflow/internal/chain/chainpb"
-	"wallflow/internal/config"
 	"wallflow/internal/directory"
 	"wallflow/internal/distribution"
-	"wallflow/internal/distribution/feedpb"
 	"wallflow/internal/registry"
 	"wallflow/internal/settings"
 	"wallflow/internal/swim"
-	"wallflow/internal/swim/swimpb"
 	"wallflow/internal/transport"
 )
 
@@ -96,90 +87,6 @@
 	return nil
 }
 
-// newProcess makes a process without cores.
-func newProcess(set *settings.Settings, log *slog.Logger, clock func() time.Time, random *rand.Rand) *Process {
-	p := &Process{
-		settings: set,
-		log:      log,
-		clock:    clock,
-		answers:  make(map[uint64]chan chain.Answer),
-		replicas: newReplicationWaits(),
-		feed:     distribution.NewPublisher(feedLife(random), clock()),
-	}
-	p.directory = p.newDirectory()
-	return p
-}
-
-// feedLife is a random name of this life of the process.
-func feedLife(random *rand.Rand) string {
-	const nameBytes = 8
-	name := make([]byte, nameBytes)
-	random.Read(name)
-	return hex.EncodeToString(name)
-}
-
-// build makes the cores from the records of the store. What the chain wants done first is returned.
-func (p *Process) build(store openedStore, random *rand.Rand) (chain.Output, error) {
-	set, now := p.settings, p.clock()
-	node, first, err := chain.New(chain.Options{
-		Self:         chain.Member{Name: set.Node, Address: set.InternalAddress(), Zone: set.Zone, Region: set.Region},
-		Bootstrap:    set.Bootstrap && !store.discarded,
-		Seeds:        set.SeedInternalAddresses(),
-		MinimumChain: set.Tolerate.Machines + 1,
-		Initial:      replicated{config.EmptyState()},
-		Decode:       decodeReplicated,
-		AckBound:     set.Bounds.Ack(),
-		Retention:    p.retention,
-		Random:       random,
-	}, store.records, now)
-	if err != nil {
-		return chain.Output{}, trace.Wrap(err)
-	}
-	p.chain = node
-	p.members = swim.New(swim.Options{
-		Self:         p.selfMember(node.Status().Identity),
-		Seeds:        set.SeedInternalAddresses(),
-		ContactBound: set.Bounds.Contact(),
-		Random:       randv2.New(randv2.NewPCG(random.Uint64(), random.Uint64())),
-	}, now)
-	p.setSeeds(set.SeedInternalAddresses())
-	p.instances = registry.NewTable(registry.Options{
-		HeartbeatInterval: set.Heartbeat(),
-		Self:              set.InternalAddress(),
-		Zone:              set.Zone,
-		Life:              random.Uint64(),
-	}, now)
-	p.instances.SetInTouch(now, false) // until a majority is
-	return first, nil
-}
-
-// begin carries out what the chain wants done first.
-func (p *Process) begin(first chain.Output) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.carryOut(first)
-	p.publish(p.clock())
-}
-
-// selfMember is what the other processes are told of this one.
-func (p *Process) selfMember(identity chain.Identity) swim.Member {
-	set := p.settings
-	return swim.Member{
-		Name:    set.Node,
-		Address: set.InternalAddress(),
-		Meta: swim.Meta{
-			Class:     set.MachineClass,
-			Role:      set.Role,
-			Zone:      set.Zone,
-			Region:    set.Region,
-			Control:   set.Listen.Control,
-			Directory: set.Listen.Directory,
-			Serving:   true,
-			Identity:  string(identity),
-		},
-	}
-}
-
 // Run drives the timers until the context ends.
 func (p *Process) Run(ctx context.Context) {
 	ticker := time.NewTicker(tickEvery)
@@ -284,131 +191,3 @@
 	}
 	return alive
 }
-
-// receive takes a message of another process.
-func (p *Process) receive(from string, kind transport.Kind, payload []byte) {
-	now := p.clock()
-	switch kind {
-	case transport.KindChain:
-		message := new(chainpb.Message)
-		if p.decode(from, payload, message) {
-			p.receiveChain(now, from, message)
-		}
-	case transport.KindSwim:
-		message := new(swimpb.Message)
-		if p.decode(from, payload, message) {
-			p.mu.Lock()
-			p.spread(p.members.Receive(now, from, message))
-			p.mu.Unlock()
-		}
-	case transport.KindRegistry:
-		message := new(feedpb.RegistryMessage)
-		if p.decode(from, payload, message) {
-			p.mu.Lock()
-			p.receiveRegistry(now, from, message)
-			p.mu.Unlock()
-		}
-	case transport.KindFeed:
-		message := new(feedpb.FeedMessage)
-		if p.decode(from, payload, message) {
-			p.mu.Lock()
-			p.deliver(p.feed.Receive(now, from, message))
-			p.mu.Unlock()
-		}
-	}
-}
-
-func (p *Process) decode(from string, payload []byte, message proto.Message) bool {
-	err := proto.Unmarshal(payload, message)
-	if err != nil {
-		p.log.Warn("malformed message", "from", from, "error", err)
-	}
-	return err == nil
-}
-
-func (p *Process) receiveChain(now time.Time, from string, message *chainpb.Message) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.carryOut(p.chain.Receive(now, from, message))
-	p.publish(now)
-}
-
-// written takes the end of a write to the store.
-func (p *Process) written(token uint64, err error) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if err != nil {
-		p.log.Error("store failed", "error", err)
-	}
-	now := p.clock()
-	p.carryOut(p.chain.Written(now, token, err))
-	p.publish(now)
-}
-
-// carryOut sends, writes and answers what the chain wants.
-func (p *Process) carryOut(output chain.Output) {
-	for _, line := range output.Logs {
-		p.log.Info("chain", "event", line)
-	}
-	for _, write := range output.Writes {
-		p.disk.add(write)
-	}
-	for _, send := range output.Sends {
-		p.network.Send(send.To, transport.KindChain, send.Message)
-	}
-	for _, answer := range output.Answers {
-		if waiting := p.answers[answer.Request]; waiting != nil {
-			delete(p.answers, answer.Request)
-			waiting <- answer
-		}
-	}
-}
-
-// spread sends what membership wants.
-func (p *Process) spread(output swim.Output) {
-	for _, datagram := range output.Datagrams {
-		p.network.SendDatagram(datagram.To, transport.KindSwim, datagram.Message)
-	}
-	for _, message := range output.Messages {
-		p.network.Send(message.To, transport.KindSwim, message.Message)
-	}
-	for _, member := range output.Changed {
-		p.log.Info("member", "name", member.Name, "status", member.Status, "serving", member.Meta.Serving)
-	}
-}
-
-// deliver sends what the feed wants.
-func (p *Process) deliver(output distribution.Output) {
-	batch := p.network.Batch(transport.KindFeed)
-	for _, send := range output.Sends {
-		batch.Send(send.To, send.Message)
-	}
-}
-
-// publish hands the committed configuration to the feed when it has changed.
-func (p *Process) publish(now time.Time) {
-	state, revision := p.chain.Committed()
-	if revision == p.published.revision {
-		return
-	}
-	current, ok := state.(replicated)
-	if !ok || revision < p.published.revision {
-		return
-	}
-	update := p.restored.update(now, current.state, revision)
-	update.Steps = p.published.step(current.state, revision)
-	p.published = published{state: current.state, revision: revision}
-	p.deliver(p.feed.SetConfig(now, update))
-}
-
-func randomBytes(count int) []byte {
-	data := make([]byte, count)
-	if _, err := crand.Read(data); err != nil {
-		panic(err) // the system has no random numbers: nothing can be trusted
-	}
-	return data
-}
-
-func randomSeed() int64 {
-	return int64(binary.LittleEndian.Uint64(randomBytes(8)) >> 1)
-}
--- a/internal/dataplane/process.go
+++ b/internal/dataplane/process.go
@@ -7,26 +7,21 @@
 	"hash/fnv"
 	"log/slog"
 	"math/rand/v2"
-	"net/http"
 	"os"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
-	"google.golang.org/protobuf/proto"
 
 	"wallflow/internal/budget"
 	"wallflow/internal/config"
-	"wallflow/internal/directory"
 	"wallflow/internal/distribution"
-	"wallflow/internal/distribution/feedpb"
 	"wallflow/internal/proxy"
 	"wallflow/internal/registry"
 	"wallflow/internal/selector"
 	"wallflow/internal/settings"
 	"wallflow/internal/swim"
-	"wallflow/internal/swim/swimpb"
 	"wallflow/internal/transport"
 	"wallflow/internal/upstream"
 	"wallflow/internal/workload"
@@ -214,56 +209,6 @@
 	p.announce(now)
 }
 
-// announce tells the other processes whether clients should come here.
-func (p *Process) announce(now time.Time) {
-	serving := !p.leaving && (p.ready.Load() || p.canServe())
-	if serving == p.ready.Load() {
-		return
-	}
-	p.ready.Store(serving)
-	p.spread(p.members.SetMeta(now, p.meta(serving)))
-}
-
-// canServe tells whether there is a configuration and, as far as is known, an endpoint. To wait until control has heard of all of
-// them after a loss of everything would leave clients without a relay for longer than most endpoints take to be known.
-func (p *Process) canServe() bool {
-	return p.compiled.Load() != nil && (p.subscriber.Complete() || len(p.zoneOf) > 0)
-}
-
-// Stop has clients sent elsewhere. The process serves on.
-func (p *Process) Stop(now time.Time) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.leaving = true
-	p.announce(now)
-}
-
-// DirectoryHandler serves clients that ask where to go.
-func (p *Process) DirectoryHandler() http.Handler {
-	return directory.New(directory.Options{
-		Members: p.listMembers,
-		HoldMax: p.settings.Bounds.TTLMax(),
-		Region:  p.settings.Region,
-
-		HomeRegions: p.homeRegions,
-	}).Handler()
-}
-
-// homeRegions returns the sets of home regions of a host's routes, by the configuration in force here.
-func (p *Process) homeRegions(host string) [][]string {
-	compiled := p.compiled.Load()
-	if compiled == nil {
-		return nil
-	}
-	return compiled.HomeRegions(host)
-}
-
-func (p *Process) listMembers() []swim.Member {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.members.Members()
-}
-
 // Close tells the others that the process is gone and ends its connections.
 func (p *Process) Close() {
 	p.mu.Lock()
@@ -271,61 +216,3 @@
 	p.mu.Unlock()
 	p.mesh.Close()
 }
-
-// receive takes a message of another process.
-func (p *Process) receive(from string, kind transport.Kind, payload []byte) {
-	now := time.Now()
-	switch kind {
-	case transport.KindSwim:
-		message := new(swimpb.Message)
-		if p.decode(from, payload, message) {
-			p.mu.Lock()
-			p.spread(p.members.Receive(now, from, message))
-			p.mu.Unlock()
-		}
-	case transport.KindFeed:
-		message := new(feedpb.FeedMessage)
-		if p.decode(from, payload, message) {
-			p.mu.Lock()
-			p.receiveFeed(now, from, message)
-			p.mu.Unlock()
-		}
-	case transport.KindWorkload:
-		p.receiveLoads(now, from, payload)
-	}
-}
-
-func (p *Process) decode(from string, payload []byte, message proto.Message) bool {
-	err := proto.Unmarshal(payload, message)
-	if err != nil {
-		p.log.Warn("malformed message", "from", from, "error", err)
-	}
-	return err == nil
-}
-
-// receiveFeed gives a message to the side that it is for: questions to the publisher, answers to the subscriber.
-func (p *Process) receiveFeed(now time.Time, from string, message *feedpb.FeedMessage) {
-	if message.GetSubscribe() != nil || message.GetUnsubscribe() != nil {
-		p.deliver(p.home.Receive(now, from, message).Sends)
-		return
-	}
-	p.takeFeed(now, p.subscriber.Receive(now, from, message))
-}
-
-// spread sends what membership wants.
-func (p *Process) spread(output swim.Output) {
-	for _, datagram := range output.Datagrams {
-		p.mesh.SendDatagram(datagram.To, transport.KindSwim, datagram.Message)
-	}
-	for _, message := range output.Messages {
-		p.mesh.Send(message.To, transport.KindSwim, message.Message)
-	}
-}
-
-// deliver sends messages of the feed.
-func (p *Process) deliver(sends []distribution.Send) {
-	batch := p.mesh.Batch(transport.KindFeed)
-	for _, send := range sends {
-		batch.Send(send.To, send.Message)
-	}
-}
