--- a/internal/swim/updates_test.go
+++ b/internal/swim/updates_test.go
@@ -78,3 +78,12 @@
 		}
 	})
 }
+
+// What is cut to fit a datagram keeps its first state whatever its size: an answer without it would say nothing.
+func TestTrimKeepsTheFirstState(t *testing.T) {
+	large := updateAbout(strings.Repeat("n", updateBytes), 1)
+	assert.Equal(t, len(trim([]*swimpb.State{large, updateAbout("a", 1)})), 1)
+	small := []*swimpb.State{updateAbout("a", 1), updateAbout("b", 1)}
+	assert.Equal(t, len(trim(small)), 2)
+	assert.Equal(t, len(trim(append(small, large))), 2)
+}
