--- a/internal/control/world_loss_test.go
+++ b/internal/control/world_loss_test.go
@@ -95,3 +95,16 @@
 		})
 	}
 }
+
+// Where there are fewer voters than bear the losses that are to be borne, all of them hold each change while all live.
+func TestAllOfTooFewVotersHoldEachChange(t *testing.T) {
+	t.Parallel()
+	for seed := range int64(5) {
+		w := newWorld(t, 7100+seed, worldOptions{controls: 3, zones: 3, relays: 1, endpoints: 1, tolerate: 2})
+		w.run(12 * time.Second)
+		for _, c := range w.controls {
+			assert.Equal(t, len(c.process.chain.View().Chain), 3, "seed %d", seed)
+		}
+		assert.Equal(t, len(w.broken), 0, "%v", w.broken)
+	}
+}
