Name what relays send each other of their loads by the field's words

Renamed without a change of behaviour; the wire's field numbers stay.

Measured: the tests of workload, selector, dataplane and experiment pass, the first two with the race detector.

--- a/internal/dataplane/workload.go
+++ b/internal/dataplane/workload.go
@@ -26,7 +26,7 @@
 
 func (p *Process) tickLoads(now time.Time) {
 	p.selectorLock.Lock()
-	own := p.selector.TakeWord(now)
+	own := p.selector.TakeReport(now)
 	p.selectorLock.Unlock()
 
 	p.mu.Lock()
--- a/internal/experiment/sharing.go
+++ b/internal/experiment/sharing.go
@@ -39,7 +39,7 @@
 func (s *sharing) tick() {
 	now := s.world.now
 	for relay, node := range s.nodes {
-		for _, send := range node.Tick(now, s.selectors[relay].TakeWord(now)) {
+		for _, send := range node.Tick(now, s.selectors[relay].TakeReport(now)) {
 			to := s.relays[send.To]
 			s.world.at(now.Add(s.world.delayBetween(relay, to)), func() {
 				s.nodes[to].Receive(s.world.now, relayAddress(relay), send.Message)
--- a/internal/selector/others.go
+++ b/internal/selector/others.go
@@ -20,12 +20,12 @@
 // key names the endpoint to other relays.
 func (e *endpoint) key() workload.Key { return workload.Key(e.hash) }
 
-// TakeWord is what this relay tells the others: what it has at model engines, what their answers told of their speed, and which openings
+// TakeReport is what this relay tells the others: what it has at model engines, what their answers told of their speed, and which openings
 // they were given to read since the last call.
-func (s *Selector) TakeWord(now time.Time) workload.Word {
-	word := workload.Word{Loads: s.ownLoads(now), Sums: s.ownSums(now), Readings: s.readings}
+func (s *Selector) TakeReport(now time.Time) workload.Report {
+	report := workload.Report{Loads: s.ownLoads(now), Sums: s.ownSums(now), Readings: s.readings}
 	s.readings = nil
-	return word
+	return report
 }
 
 // ownLoads is what this relay has at model engines.
@@ -118,7 +118,7 @@
 const readingsHeld = 64
 
 // noteReading has the other relays told that an endpoint reads, or uses, the opening of a prompt. One that is bound to home regions is told
-// to nobody, since the word goes to all regions.
+// to nobody, since readings go to all regions.
 func (s *Selector) noteReading(endpoint *endpoint, request *Request) {
 	if _, affine := request.affinity(); !affine || len(request.Parts) < 2 || request.isBound() || len(s.readings) >= readingsHeld {
 		return
--- a/internal/selector/others_test.go
+++ b/internal/selector/others_test.go
@@ -44,14 +44,14 @@
 }
 
 // The relay tells what it has, each opening that it has read once, and nothing of what has ended.
-func TestTakeWord(t *testing.T) {
+func TestTakeReport(t *testing.T) {
 	f := newFleet(t)
 	f.engines(homeZone, 2)
 	r := f.request("dossier")
 	r.Parts = []PromptPart{{ID: 5, Tokens: 9000}, {ID: 6, Tokens: 500}}
 	r.TokensIn = 9500
 	d := f.sent(r)
-	word := f.s.TakeWord(f.now)
+	word := f.s.TakeReport(f.now)
 	assert.Equal(t, len(word.Loads), 1)
 	for _, load := range word.Loads {
 		assert.Equal(t, load.Requests, 1)
@@ -60,7 +60,7 @@
 	assert.Equal(t, len(word.Readings), 1)
 	assert.Equal(t, word.Readings[0].Part, uint64(5))
 	f.done(d, Success)
-	word = f.s.TakeWord(f.now)
+	word = f.s.TakeReport(f.now)
 	assert.Equal(t, len(word.Loads), 0)
 	assert.Equal(t, len(word.Readings), 0)
 }
@@ -159,7 +159,7 @@
 		f.s.noteAwake(f.now)
 	}
 	told := func() (overdue int) {
-		for _, load := range f.s.TakeWord(f.now).Loads {
+		for _, load := range f.s.TakeReport(f.now).Loads {
 			overdue += load.Overdue
 		}
 		return overdue
@@ -190,7 +190,7 @@
 	f.s.SetOthers(f.now, workload.Loads{}, true)
 	free := f.dossier(1)
 	f.served(f.sent(free), time.Millisecond)
-	assert.Equal(t, len(f.s.TakeWord(f.now).Readings), 1)
+	assert.Equal(t, len(f.s.TakeReport(f.now).Readings), 1)
 	assert.Assert(t, f.s.placesFreely(free))
 	for index := range f.document.Routes {
 		f.document.Routes[index].HomeRegions = []string{home}
@@ -198,7 +198,7 @@
 	f.configure()
 	bound := f.dossier(2)
 	f.served(f.sent(bound), time.Millisecond)
-	assert.Equal(t, len(f.s.TakeWord(f.now).Readings), 0)
+	assert.Equal(t, len(f.s.TakeReport(f.now).Readings), 0)
 	assert.Assert(t, !f.s.placesFreely(bound))
 }
 
--- a/internal/workload/example_test.go
+++ b/internal/workload/example_test.go
@@ -18,11 +18,11 @@
 	for _, node := range nodes {
 		node.SetMembers([]workload.Member{one, two})
 	}
-	busy := workload.Word{Loads: workload.Loads{7: {Requests: 3, Unread: 12_000}}}
+	busy := workload.Report{Loads: workload.Loads{7: {Requests: 3, Unread: 12_000}}}
 	for _, send := range nodes[one.Address].Tick(now, busy) {
 		nodes[send.To].Receive(now, one.Address, send.Message)
 	}
-	for _, send := range nodes[two.Address].Tick(now, workload.Word{}) {
+	for _, send := range nodes[two.Address].Tick(now, workload.Report{}) {
 		nodes[send.To].Receive(now, two.Address, send.Message)
 	}
 	loads, _, known := nodes[two.Address].Others(now)
--- a/internal/workload/link_test.go
+++ b/internal/workload/link_test.go
@@ -41,7 +41,7 @@
 
 // The words of a hub take no more than their share of its link, however many relays and endpoints there are. One that took more would
 // be late with everything else, and so count as gone.
-func TestWordsStayWithinTheLink(t *testing.T) {
+func TestUpdatesStayWithinTheLink(t *testing.T) {
 	const link = 1.25e6 // 10 Mbit/s
 	for _, size := range []struct{ relays, endpoints int }{{50, 160}, {100, 400}, {30, 3000}} {
 		z := newBusyZone(t, size.relays, size.endpoints, link)
@@ -84,11 +84,11 @@
 
 // An endpoint that lost its load is named as such twice at the most, and then takes no room any more.
 func TestEndedLoadsAreNamedTwice(t *testing.T) {
-	told := newAudience(leastChange, Load.isAny)
+	told := newBroadcast(leastChange, Load.isAny)
 	now := start
 	named := func(loads Loads) int {
 		changes := told.changes(now, loads, entriesMost)
-		word := told.tell(now, loads, changes)
+		word := told.update(now, loads, changes)
 		now = now.Add(entryRepeat)
 		return len(word)
 	}
@@ -96,30 +96,30 @@
 	assert.Equal(t, named(Loads{2: {Requests: 1}}), 2) // the end of one, and the other again
 	assert.Equal(t, named(Loads{2: {Requests: 1}}), 2) // the same once more
 	assert.Equal(t, named(Loads{2: {Requests: 1}}), 1)
-	assert.Equal(t, len(told.shown), 1)
+	assert.Equal(t, len(told.sent), 1)
 }
 
 // A load that other zones need not know of is told as none, not as what it is.
 func TestLoadsThatDoNotMatterAreToldAsNone(t *testing.T) {
-	told := newAudience(leastZoneChange, Load.matters)
+	told := newBroadcast(leastZoneChange, Load.matters)
 	many, few := Loads{1: {Requests: 5, Held: 900}}, Loads{1: {Requests: 1, Held: 100}}
-	told.tell(start, many, told.changes(start, many, entriesMost))
-	word := told.tell(start, few, told.changes(start, few, entriesMost))
+	told.update(start, many, told.changes(start, many, entriesMost))
+	word := told.update(start, few, told.changes(start, few, entriesMost))
 	assert.Equal(t, word[1], Load{})
 	assert.Equal(t, len(word), 1)
 }
 
 // A whole word names no more endpoints than it may.
-func TestWholeWordsAreBounded(t *testing.T) {
-	told := newAudience(leastChange, Load.isAny)
+func TestSnapshotsAreBounded(t *testing.T) {
+	told := newBroadcast(leastChange, Load.isAny)
 	loads := Loads{1: {Requests: 1}, 2: {Requests: 1}, 3: {Requests: 1}}
-	told.tell(start, loads, told.changes(start, loads, entriesMost))
-	assert.Equal(t, len(told.whole(2)), 2)
-	assert.Equal(t, len(told.whole(3)), 3)
+	told.update(start, loads, told.changes(start, loads, entriesMost))
+	assert.Equal(t, len(told.snapshot(2)), 2)
+	assert.Equal(t, len(told.snapshot(3)), 3)
 }
 
 // Relays share the link of their hub for what they tell it: each pauses after a long word.
-func TestWordsToTheHubAreBounded(t *testing.T) {
+func TestReportsToTheHubAreBounded(t *testing.T) {
 	z := newBusyZone(t, 2, 400, 20_000)
 	relay := z.nodes[0]
 	if relay.isHub() {
@@ -131,7 +131,7 @@
 		for range 20 {
 			loads[Key(z.random.IntN(z.endpoints))] = Load{Requests: 1, Unread: 3000}
 		}
-		for _, send := range relay.Tick(start.Add(time.Duration(step)*LocalEvery), Word{Loads: loads}) {
+		for _, send := range relay.Tick(start.Add(time.Duration(step)*LocalEvery), Report{Loads: loads}) {
 			sent += proto.Size(send.Message) + messageOverhead
 		}
 	}
@@ -139,7 +139,7 @@
 }
 
 // A word without sums leaves those before, and readings whose lists do not fit each other are passed over.
-func TestPartsOfAWord(t *testing.T) {
+func TestPartsOfAMessage(t *testing.T) {
 	hub := New(Options{Self: Member{Address: "hub", Zone: "z"}, Life: 1})
 	relays := []Member{{Address: "hub", Zone: "z"}, {Address: "relay", Zone: "z"}}
 	hub.SetMembers(relays)
@@ -166,7 +166,7 @@
 
 	hub.SetMembers(relays[:0])
 	assert.Equal(t, len(hub.relays), 0)
-	assert.Equal(t, len(hub.told), 0)
+	assert.Equal(t, len(hub.receivers), 0)
 }
 
 // What another zone's hub told stays while it is there, and goes with it.
@@ -185,6 +185,6 @@
 		assert.Equal(t, len(node.zones), 1)
 		node.SetMembers(w.members[index/2*2 : index/2*2+2])
 		assert.Equal(t, len(node.zones), 0)
-		assert.Equal(t, len(node.told), 1)
+		assert.Equal(t, len(node.receivers), 1)
 	}
 }
--- a/internal/workload/load.go
+++ b/internal/workload/load.go
@@ -37,7 +37,7 @@
 	l.Overdue += other.Overdue
 }
 
-// subtract takes a part of the load away. What was told at another time may be less than the part: nothing is left then.
+// subtract takes a part of the load away. What was sent at another time may be less than the part: nothing is left then.
 func (l *Load) subtract(part Load) {
 	l.Requests = max(0, l.Requests-part.Requests)
 	l.Unread = max(0, l.Unread-part.Unread)
@@ -55,7 +55,7 @@
 // isAny tells whether there is a load at all.
 func (l Load) isAny() bool { return l != Load{} }
 
-// matters tells whether other zones are told of a load.
+// matters reports whether other zones are sent a load.
 func (l Load) matters() bool {
 	return l.Requests >= zoneRequests || l.Unread >= zoneUnread || l.Overdue > 0
 }
--- a/internal/workload/node.go
+++ b/internal/workload/node.go
@@ -10,43 +10,43 @@
 )
 
 const (
-	// LocalEvery is the least time between two words to a process of the own zone, where bytes are cheap.
+	// LocalEvery is the least time between two messages to a process of the own zone, where bytes are cheap.
 	LocalEvery = 40 * time.Millisecond
-	// ZoneEvery is the least time between two words to another zone while there are no more than zonesUsual zones.
+	// ZoneEvery is the least time between two updates to another zone while there are no more than zonesUsual zones.
 	ZoneEvery  = 60 * time.Millisecond
 	zonesUsual = 8
-	// repeatEvery is after how long a word is sent though nothing has changed, and forgetAfter when a sender that is silent counts no
-	// more: after two words that were lost.
+	// repeatEvery is after how long a message is sent though nothing has changed, and forgetAfter when a sender that is silent counts no
+	// more: after two messages that were lost.
 	repeatEvery = 500 * time.Millisecond
 	forgetAfter = 1600 * time.Millisecond
 	// entryRepeat is after how long an endpoint is named again though its load has not changed, and entryExpiry when a load that was not
 	// named again counts no more.
 	entryRepeat = time.Second
 	entryExpiry = 4 * time.Second
-	// wordSpan bounds the pause after a word: what does not fit into that time's share of the link waits for the next one.
-	wordSpan = 100 * time.Millisecond
+	// updateSpan bounds the updates: one names no more than that time's share of the link carries.
+	updateSpan = 100 * time.Millisecond
 	// leastChange and leastZoneChange are the changes, in requests, from which an endpoint is named at once.
 	leastChange     = 1
 	leastZoneChange = 2
 
-	// sumsEvery is the least time between two tellings of sums: they change slowly.
+	// sumsEvery is the least time between two messages with sums: they change slowly.
 	sumsEvery = 500 * time.Millisecond
 
-	// zoneRequests and zoneUnread are the loads of an endpoint from which other zones are told: a smaller one delays nobody there.
+	// zoneRequests and zoneUnread are the loads of an endpoint from which other zones are sent them: a smaller one delays nobody there.
 	zoneRequests = 2
 	zoneUnread   = 1024
-	// zoneEntries bounds the endpoints that a word to another zone names.
+	// zoneEntries bounds the endpoints that an update to another zone names.
 	zoneEntries = 512
-	// entriesMost and loadMost bound what a word may claim.
+	// entriesMost and loadMost bound what a message may claim.
 	entriesMost = 1 << 15
 	loadMost    = 1 << 28
 
-	// linkShare is the share of a machine's link that its words may take within the zone, and as much again between zones.
+	// linkShare is the share of a machine's link that its updates may take within the zone, and as much again between zones.
 	linkShare = 0.25
 	// messageOverhead is about what a message takes on the wire beside its loads, and entryBytes what an endpoint in it takes.
 	messageOverhead = 80
 	entryBytes      = 12
-	// entriesLeast is how many endpoints a word may name however slow the link is.
+	// entriesLeast is how many endpoints an update may name however slow the link is.
 	entriesLeast = 8
 
 	// hubKey is the key by which the hub of a zone is chosen among its relays.
@@ -65,28 +65,11 @@
 	Message *workloadpb.Message
 }
 
-// told is what a receiver was told last.
-type told struct {
-	begun    bool   // it has a whole word
-	sequence uint64 // of the last message
-	sumsAt   time.Time
-	readings uint64 // place in the queue
-}
-
-// spoken is an own word, kept so that a relay can tell what part of its zone's sum is its own.
-type spoken struct {
-	sequence uint64
-	loads    Loads
-}
-
-// spokenKept bounds the own words that are kept: the hub's sum is no older than that.
-const spokenKept = 64
-
-// Word is what a relay tells of itself.
-type Word struct {
+// Report is what a relay has itself.
+type Report struct {
 	Loads    Loads     // what it has at endpoints now
-	Sums     Sums      // what the answers that it got have told
-	Readings []Reading // since the word before
+	Sums     Sums      // what the answers to it have shown
+	Readings []Reading // since the report before
 }
 
 // Options are the settings of a Node.
@@ -109,19 +92,20 @@
 	peers []string          // the other relays of the own zone, in order
 	hubs  map[string]string // zone by address of its hub, without the own
 
-	own    Word
-	spoken []spoken // to the hub, the oldest first
-	queue  readingQueue
-	heard  []Reading        // of other relays, since TakeReadings
-	relays map[string]*view // hub: by relay of the zone
-	zones  map[string]*view // hub: by address of the other hubs
-	others *view            // from the hub, less the own part; nil: nothing was heard
-	told   map[string]*told // by receiver
-
-	toPeers audience  // hub: the relays of the zone
-	toHubs  audience  // hub: the other hubs
-	toHub   time.Time // relay: when the hub was told last
-	pauseTo time.Time // relay: until when the hub is told nothing
+	own      Report
+	queue    readingQueue
+	received []Reading        // of other relays, since TakeReadings
+	relays   map[string]*peer // hub: by relay of the zone
+	zones    map[string]*peer // hub: by address of the other hubs
+	others   *peer            // what the hub sent, less the own part; nil: nothing yet
+
+	receivers map[string]*receiver // by address
+	toPeers   broadcast            // hub: to the relays of the zone
+	toHubs    broadcast            // hub: to the other hubs
+
+	sentReports []sentReport // to the hub, the oldest first
+	lastReport  time.Time
+	nextReport  time.Time // nothing is reported before
 }
 
 // New returns a Node that knows no other relay.
@@ -129,9 +113,9 @@
 	self := options.Self
 	n := &Node{
 		self: self, life: options.Life, link: options.LinkBytes,
-		relays: make(map[string]*view), zones: make(map[string]*view), told: make(map[string]*told),
+		relays: make(map[string]*peer), zones: make(map[string]*peer), receivers: make(map[string]*receiver),
 	}
-	n.beginAudiences()
+	n.resetBroadcasts()
 	n.SetMembers([]Member{self})
 	return n
 }
@@ -153,60 +137,64 @@
 	was := n.hub
 	n.hub = distribution.Home(n.self.Zone, zones[n.self.Zone], hubKey)
 	if n.hub != was {
-		n.beginAudiences()
+		n.resetBroadcasts()
 	}
 	n.peers = slices.Sorted(slices.Values(zones[n.self.Zone][1:]))
 	n.forgetAbsent()
 }
 
-// beginAudiences forgets what was told as the hub of the zone.
-func (n *Node) beginAudiences() {
-	n.toPeers = newAudience(leastChange, Load.isAny)
-	n.toHubs = newAudience(leastZoneChange, Load.matters)
-	clear(n.told)
-	n.spoken = nil
+// resetBroadcasts forgets what was sent while another relay was the hub of the zone.
+func (n *Node) resetBroadcasts() {
+	n.toPeers = newBroadcast(leastChange, Load.isAny)
+	n.toHubs = newBroadcast(leastZoneChange, Load.matters)
+	clear(n.receivers)
+	n.sentReports = nil
 }
 
-// forgetAbsent drops what is known of, or was told to, relays that are no longer there.
+// forgetAbsent drops what is known of, or was sent to, relays that are no longer there.
 func (n *Node) forgetAbsent() {
-	maps.DeleteFunc(n.relays, func(address string, _ *view) bool { return !n.isHub() || !slices.Contains(n.peers, address) })
-	maps.DeleteFunc(n.zones, func(address string, _ *view) bool { return !n.isHub() || n.hubs[address] == "" })
-	maps.DeleteFunc(n.told, func(address string, _ *told) bool {
+	maps.DeleteFunc(n.relays, func(address string, _ *peer) bool { return !n.isHub() || !slices.Contains(n.peers, address) })
+	maps.DeleteFunc(n.zones, func(address string, _ *peer) bool { return !n.isHub() || n.hubs[address] == "" })
+	maps.DeleteFunc(n.receivers, func(address string, _ *receiver) bool {
 		return address != n.hub && !slices.Contains(n.peers, address) && n.hubs[address] == ""
 	})
 }
 
 func (n *Node) isHub() bool { return n.hub == n.self.Address }
 
-// Tick takes this relay's word, and says what is to be sent. It is to be called every LocalEvery or more often.
-func (n *Node) Tick(now time.Time, own Word) []Send {
+// Tick takes what this relay has now, and returns what is to be sent. It is to be called every LocalEvery or more often.
+func (n *Node) Tick(now time.Time, own Report) []Send {
 	n.own = own
 	n.queue.add(n.self.Address, own.Readings)
 	if !n.isHub() {
-		return n.tellHub(now)
+		return n.sendReport(now)
 	}
 	zone := n.sumOfZone(now)
 	all := n.sumOfZones(now)
 	all.add(zone)
-	sends := n.tellAll(nil, now, telling{
-		audience: &n.toPeers, receivers: n.peers, every: LocalEvery, loads: all, most: entriesMost,
-		sums: func(to string) Sums { return n.sumsBut(now, to) },
-		put: func(message *workloadpb.Message, to string, loads *workloadpb.Loads) {
-			message.All, message.Heard = loads, n.heardOf(now, to)
+	sends := n.sendUpdate(nil, now, update{
+		to: &n.toPeers, receivers: n.peers, interval: LocalEvery, loads: all, entriesMost: entriesMost,
+		sums: func(receiver string) Sums { return n.sumsBut(now, receiver) },
+		fill: func(message *workloadpb.Message, receiver string, loads *workloadpb.Loads) {
+			message.All, message.IncludedReport = loads, n.includedReport(now, receiver)
 		},
 	})
-	zoneSums := n.sumsOfZone(now)
-	return n.tellAll(sends, now, telling{
-		audience: &n.toHubs, receivers: slices.Sorted(maps.Keys(n.hubs)), every: n.zoneEvery(), loads: zone, most: zoneEntries,
-		ownZone: true,
-		sums:    func(string) Sums { return zoneSums },
-		put: func(message *workloadpb.Message, to string, loads *workloadpb.Loads) {
-			message.Zone, message.Again = loads, n.zones[to] != nil && n.zones[to].missed
+	return n.sendUpdate(sends, now, update{
+		to: &n.toHubs, receivers: slices.Sorted(maps.Keys(n.hubs)), interval: n.zoneEvery(), loads: zone, entriesMost: zoneEntries,
+		ownZoneOnly: true,
+		sums:        func(string) Sums { return n.sumsOfZone(now) },
+		fill: func(message *workloadpb.Message, receiver string, loads *workloadpb.Loads) {
+			message.Zone, message.SnapshotWanted = loads, n.zones[receiver] != nil && n.zones[receiver].hasGap
 		},
 	})
 }
 
-// Others is what all other relays have at endpoints, and what their answers have told, as far as is known. Not ok: nothing is known, and
+// zoneEvery grows with the number of zones, so that what a hub sends stays bounded.
+func (n *Node) zoneEvery() time.Duration {
+	return ZoneEvery * time.Duration(max(1, (len(n.hubs)+zonesUsual-1)/zonesUsual))
+}
+
+// Others is what all other relays have at endpoints, and what their answers have shown, as far as is known. Not ok: nothing is known, and
 // the caller has to guess.
 func (n *Node) Others(now time.Time) (loads Loads, sums Sums, ok bool) {
 	if !n.isHub() {
@@ -218,8 +206,8 @@
 		return loads, n.others.sums, true
 	}
 	loads, sums = n.sumOfZones(now), make(Sums)
-	for _, views := range []map[string]*view{n.relays, n.zones} {
-		addFreshSums(sums, now, views)
+	for _, peers := range []map[string]*peer{n.relays, n.zones} {
+		addFreshSums(sums, now, peers)
 	}
 	addFresh(loads, now, n.relays)
 	return loads, sums, true
@@ -227,24 +215,24 @@
 
 // TakeReadings returns what other relays had endpoints read since the last call.
 func (n *Node) TakeReadings() []Reading {
-	heard := n.heard
-	n.heard = nil
-	return heard
+	received := n.received
+	n.received = nil
+	return received
 }
 
 // Figures are counts for logs.
 type Figures struct {
 	Hub    bool
 	Known  bool // the loads of the other relays are known
-	Relays int  // of the zone, that the hub hears
-	Zones  int  // others, that the hub hears
+	Relays int  // of the zone, that the hub has fresh loads of
+	Zones  int  // others, that the hub has fresh loads of
 }
 
 // Figures tells how much is known.
 func (n *Node) Figures(now time.Time) Figures {
-	count := func(views map[string]*view) (fresh int) {
-		for _, said := range views {
-			if said.fresh(now) {
+	count := func(peers map[string]*peer) (fresh int) {
+		for _, peer := range peers {
+			if peer.fresh(now) {
 				fresh++
 			}
 		}
--- a/internal/workload/node_test.go
+++ b/internal/workload/node_test.go
@@ -20,7 +20,7 @@
 	now     time.Time
 	members []Member
 	nodes   []*Node
-	own     []Word
+	own     []Report
 	down    map[string]bool
 	delay   time.Duration
 	flying  []flight
@@ -51,7 +51,7 @@
 	}
 	for index, member := range w.members {
 		w.nodes = append(w.nodes, New(Options{Self: member, Life: uint64(index) + 1, LinkBytes: w.link}))
-		w.own = append(w.own, Word{})
+		w.own = append(w.own, Report{})
 	}
 	w.spreadMembers()
 	return w
@@ -215,7 +215,7 @@
 }
 
 // What goes between zones is bounded however often loads change, and names the endpoints with a load that matters, the most loaded first.
-func TestWordsBetweenZonesAreBounded(t *testing.T) {
+func TestUpdatesBetweenZonesAreBounded(t *testing.T) {
 	w := newNetwork(t, 2, 2)
 	random := rand.New(rand.NewPCG(3, 4))
 	w.run(time.Second)
@@ -233,8 +233,8 @@
 	for key := range 3 * zoneEntries {
 		many[Key(key)] = Load{Requests: 1, Unread: key * 4}
 	}
-	hubs := newAudience(leastZoneChange, Load.matters)
-	shown := hubs.tell(w.now, many, hubs.changes(w.now, many, zoneEntries))
+	hubs := newBroadcast(leastZoneChange, Load.matters)
+	shown := hubs.update(w.now, many, hubs.changes(w.now, many, zoneEntries))
 	assert.Equal(t, len(shown), zoneEntries)
 	assert.Equal(t, shown[3*zoneEntries-1].Unread, 4*(3*zoneEntries-1))
 	_, small := shown[0]
@@ -302,7 +302,7 @@
 }
 
 // A late word, one of another's zone and one whose lists do not fit are passed over.
-func TestImproperWordsArePassedOver(t *testing.T) {
+func TestImproperMessagesAreIgnored(t *testing.T) {
 	w := newNetwork(t, 2, 2)
 	hub := 0
 	for index := range w.nodes {
--- a/internal/workload/reading.go
+++ b/internal/workload/reading.go
@@ -10,7 +10,7 @@
 }
 
 const (
-	// readingsKept bounds the readings that a hub has in hand, and readingsTold those of one word.
+	// readingsKept bounds the readings that a hub has in hand, and readingsTold those of one message.
 	readingsKept = 1024
 	readingsTold = 96
 )
--- a/internal/workload/receive.go
+++ b/internal/workload/receive.go
@@ -8,44 +8,43 @@
 	"wallflow/internal/workload/workloadpb"
 )
 
-// Receive takes a word of another relay. One that is not from a relay that this one listens to, or came late, is passed over.
+// Receive takes a message of another relay. One that is not from a relay that this one expects messages of, or came late, is ignored.
 func (n *Node) Receive(now time.Time, from string, message *workloadpb.Message) {
-	if !n.take(now, from, message) {
+	if !n.receiveLoads(now, from, message) {
 		return
 	}
-	if message.Again {
-		n.toldTo(from).begun = false
+	if message.SnapshotWanted {
+		n.receiver(from).hasSnapshot = false
 	}
 	readings := decodeReadings(message.Readings)
-	n.heard = append(n.heard, readings...)
+	n.received = append(n.received, readings...)
 	if n.isHub() {
 		n.queue.add(from, readings)
 	}
 }
 
-// take takes the loads and sums of a message. It returns whether the message is from a relay that this one listens to, newer than its
-// last, and readable.
-func (n *Node) take(now time.Time, from string, message *workloadpb.Message) bool {
+// receiveLoads takes the loads and sums of a message. It returns false for a message that is ignored.
+func (n *Node) receiveLoads(now time.Time, from string, message *workloadpb.Message) bool {
 	switch {
 	case message.GetRelay() != nil && n.isHub() && slices.Contains(n.peers, from):
-		return listen(n.relays, from).hear(now, message, message.Relay, true, nil)
+		return peerAt(n.relays, from).receive(now, message, message.Relay, true, nil)
 	case message.GetZone() != nil && n.isHub() && n.hubs[from] != "":
-		return listen(n.zones, from).hear(now, message, message.Zone, message.Whole, nil)
+		return peerAt(n.zones, from).receive(now, message, message.Zone, message.Snapshot, nil)
 	case message.GetAll() != nil && from == n.hub && !n.isHub():
 		if n.others == nil {
-			n.others = &view{}
+			n.others = &peer{}
 		}
-		return n.others.hear(now, message, message.All, message.Whole, n.ownIn(message.Heard))
+		return n.others.receive(now, message, message.All, message.Snapshot, n.reportedIn(message.IncludedReport))
 	}
 	return false
 }
 
-// listen is what a sender has told, begun if it is new.
-func listen(views map[string]*view, from string) *view {
-	if views[from] == nil {
-		views[from] = &view{}
+// peerAt returns the peer at an address, a new one if it has sent nothing yet.
+func peerAt(peers map[string]*peer, address string) *peer {
+	if peers[address] == nil {
+		peers[address] = &peer{}
 	}
-	return views[from]
+	return peers[address]
 }
 
 // sumOfZone is what the relays of the own zone have, this one included.
@@ -65,15 +64,15 @@
 	return sum
 }
 
-func addFresh(sum Loads, now time.Time, views map[string]*view) {
-	for _, said := range views {
-		if said.fresh(now) {
-			said.addTo(sum, now)
+func addFresh(sum Loads, now time.Time, peers map[string]*peer) {
+	for _, peer := range peers {
+		if peer.fresh(now) {
+			peer.addTo(sum, now)
 		}
 	}
 }
 
-// sumsOfZone is what the answers to the relays of the own zone have told.
+// sumsOfZone is what the answers to the relays of the own zone have shown.
 func (n *Node) sumsOfZone(now time.Time) Sums {
 	sums := make(Sums)
 	sums.add(n.own.Sums)
@@ -81,20 +80,20 @@
 	return sums
 }
 
-// sumsBut is what the answers to all relays but one of the own zone have told.
+// sumsBut is what the answers to all relays but one of the own zone have shown.
 func (n *Node) sumsBut(now time.Time, relay string) Sums {
 	sums := n.sumsOfZone(now)
 	addFreshSums(sums, now, n.zones)
-	if said := n.relays[relay]; said.fresh(now) {
-		return sums.without(said.sums)
+	if reporter := n.relays[relay]; reporter.fresh(now) {
+		return sums.without(reporter.sums)
 	}
 	return sums
 }
 
-func addFreshSums(sums Sums, now time.Time, views map[string]*view) {
-	for _, said := range views {
-		if said.fresh(now) {
-			sums.add(said.sums)
+func addFreshSums(sums Sums, now time.Time, peers map[string]*peer) {
+	for _, peer := range peers {
+		if peer.fresh(now) {
+			sums.add(peer.sums)
 		}
 	}
 }
--- a/internal/workload/sums.go
+++ b/internal/workload/sums.go
@@ -11,10 +11,10 @@
 // SumTerms is how many figures the sums of a service have.
 const SumTerms = 10
 
-// servicesMost bounds the services that a word tells sums of.
+// servicesMost bounds the services that a message has sums of.
 const servicesMost = 64
 
-// Sums are figures that add up over relays, by service: what the answers of its engines have told.
+// Sums are figures that add up over relays, by service: what the answers of its engines have shown.
 type Sums map[Key][SumTerms]float64
 
 // add adds a part of the sums.
