--- a/internal/swim/answer_test.go
+++ b/internal/swim/answer_test.go
@@ -78,3 +78,39 @@
 		assert.Assert(t, send.To != "10.0.0.3:1", "a suspicion of now is no news that was missed")
 	}
 }
+
+// Only a process that the answering one does not know, or knows in a former life, is asked who it is: else each answer would set off an
+// exchange.
+func TestKnownAskerIsNotAskedWhoItIs(t *testing.T) {
+	n, other := alone()
+	wanted := func(incarnation uint64, sender uint32) bool {
+		output := n.Receive(simEpoch, other.Address, &swimpb.Message{Type: swimpb.Type_TYPE_PING, Target: n.self.nameHash, Sender: sender, Incarnation: incarnation})
+		return output.Datagrams[0].Message.GetAnswerWanted()
+	}
+	assert.Assert(t, !wanted(other.Incarnation, other.nameHash))
+	assert.Assert(t, wanted(other.Incarnation+1, other.nameHash))
+	assert.Assert(t, wanted(other.Incarnation, other.nameHash+1))
+}
+
+// A new member asks one seed at a time.
+func TestSeedsAreAskedOneAtATime(t *testing.T) {
+	n := New(Options{
+		Self: Member{Name: "a", Address: "10.0.0.1:1"}, Seeds: []string{"10.0.0.8:1", "10.0.0.9:1"}, Random: rand.New(rand.NewPCG(1, 2)),
+	}, simEpoch)
+	asked := 0
+	const ticks = 20
+	for tick := range ticks {
+		for _, send := range n.Tick(simEpoch.Add(time.Duration(tick) * joinInterval / 4)).Datagrams {
+			if send.Message.GetType() == swimpb.Type_TYPE_JOIN {
+				asked++
+			}
+		}
+	}
+	assert.Equal(t, asked, ticks/4)
+}
+
+// Nobody is found where there is nobody.
+func TestNobodyIsPickedOfNone(t *testing.T) {
+	n, _ := alone()
+	assert.Assert(t, n.pick(span{}, nil) == nil)
+}
