--- a/internal/control/receive.go
+++ b/internal/control/receive.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"wallflow/internal/chain/chainpb"
 	"wallflow/internal/distribution/feedpb"
 	"wallflow/internal/swim/swimpb"
@@ -17,26 +15,26 @@
 	switch kind {
 	case transport.KindChain:
 		message := new(chainpb.Message)
-		if p.decode(from, payload, message) {
+		if transport.Decode(p.log, from, payload, message) {
 			p.receiveChain(now, from, message)
 		}
 	case transport.KindSwim:
 		message := new(swimpb.Message)
-		if p.decode(from, payload, message) {
+		if transport.Decode(p.log, from, payload, message) {
 			p.mu.Lock()
 			p.spread(p.members.Receive(now, from, message))
 			p.mu.Unlock()
 		}
 	case transport.KindRegistry:
 		message := new(feedpb.RegistryMessage)
-		if p.decode(from, payload, message) {
+		if transport.Decode(p.log, from, payload, message) {
 			p.mu.Lock()
 			p.receiveRegistry(now, from, message)
 			p.mu.Unlock()
 		}
 	case transport.KindFeed:
 		message := new(feedpb.FeedMessage)
-		if p.decode(from, payload, message) {
+		if transport.Decode(p.log, from, payload, message) {
 			p.mu.Lock()
 			p.deliver(p.feed.Receive(now, from, message))
 			p.mu.Unlock()
@@ -44,14 +42,6 @@
 	}
 }
 
-func (p *Process) decode(from string, payload []byte, message proto.Message) bool {
-	err := proto.Unmarshal(payload, message)
-	if err != nil {
-		p.log.Warn("malformed message", "from", from, "error", err)
-	}
-	return err == nil
-}
-
 func (p *Process) receiveChain(now time.Time, from string, message *chainpb.Message) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/dataplane/receive.go
+++ b/internal/dataplane/receive.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"wallflow/internal/distribution/feedpb"
 	"wallflow/internal/swim/swimpb"
 	"wallflow/internal/transport"
@@ -16,14 +14,14 @@
 	switch kind {
 	case transport.KindSwim:
 		message := new(swimpb.Message)
-		if p.decode(from, payload, message) {
+		if transport.Decode(p.log, from, payload, message) {
 			p.mu.Lock()
 			p.spread(p.members.Receive(now, from, message))
 			p.mu.Unlock()
 		}
 	case transport.KindFeed:
 		message := new(feedpb.FeedMessage)
-		if p.decode(from, payload, message) {
+		if transport.Decode(p.log, from, payload, message) {
 			p.mu.Lock()
 			p.receiveFeed(now, from, message)
 			p.mu.Unlock()
@@ -33,14 +31,6 @@
 	}
 }
 
-func (p *Process) decode(from string, payload []byte, message proto.Message) bool {
-	err := proto.Unmarshal(payload, message)
-	if err != nil {
-		p.log.Warn("malformed message", "from", from, "error", err)
-	}
-	return err == nil
-}
-
 // receiveFeed gives a message to the side that it is for: questions to the publisher, answers to the subscriber.
 func (p *Process) receiveFeed(now time.Time, from string, message *feedpb.FeedMessage) {
 	if message.GetSubscribe() != nil || message.GetUnsubscribe() != nil {
--- a/internal/dataplane/workload.go
+++ b/internal/dataplane/workload.go
@@ -48,7 +48,7 @@
 // receiveLoads takes what another relay says of loads.
 func (p *Process) receiveLoads(now time.Time, from string, payload []byte) {
 	message := new(workloadpb.Message)
-	if !p.decode(from, payload, message) {
+	if !transport.Decode(p.log, from, payload, message) {
 		return
 	}
 	p.mu.Lock()
