Have a removed list server ask the addresses of its settings, and find a moved mistake

TestARemovedServerEnds hung: a server that is removed before the records of the others came to it knows nobody to ask whether it was removed. And the place of a listed mistake had moved with the code of control to build.go.

Change: a server that nobody leads asks the addresses of its settings too, of its own cluster alone; the mistake names its file.

--- a/internal/listsvc/control.go
+++ b/internal/listsvc/control.go
@@ -305,21 +305,50 @@
 		}
 		return s.ask(ctx, http.MethodPost, leader.HTTP, "/cluster/servers", own, &taken{})
 	}
-	for _, p := range s.m.Servers() { // nobody leads, as far as this server knows
-		if p.ID == own.ID {
-			continue
-		}
+	return s.findRemoval(ctx, own)
+}
+
+// findRemoval asks the others, where nobody leads as far as this server knows, whether they have removed it. A server that was removed
+// early may know of none of them by the list's own records: the addresses of its settings are asked as well.
+func (s *Server) findRemoval(ctx context.Context, own Peer) error {
+	identity := s.own()
+	cluster := identity.Cluster
+	if cluster == "" && identity.Founding != nil {
+		cluster = identity.Founding.Cluster
+	}
+	for _, addr := range otherAddresses(own, s.m.Servers(), s.o.Servers, s.o.Join) {
 		var r Report
-		if s.ask(ctx, http.MethodGet, p.HTTP, "/cluster/status", nil, &r) != nil || r.ID != p.ID || r.Leader == "" || r.Commit < s.raft.CommitIndex() {
+		if s.ask(ctx, http.MethodGet, addr, "/cluster/status", nil, &r) != nil || r.Cluster != cluster || r.Leader == "" || r.Commit < s.raft.CommitIndex() {
 			continue
 		}
 		if !slices.ContainsFunc(r.Members, func(m Member) bool { return m.ID == own.ID }) {
-			return fmt.Errorf("%w: server %s says so", ErrRemoved, p.Name)
+			return fmt.Errorf("%w: server %s says so", ErrRemoved, r.Name)
 		}
 	}
 	return nil
 }
 
+// otherAddresses are the HTTP addresses at which other servers of a cluster may answer: of those that the list knows, those of a first
+// start, and those to join through. Each stands once.
+func otherAddresses(own Peer, known []Peer, first []First, join []string) []string {
+	var addresses []string
+	add := func(address string) {
+		if address != "" && address != own.HTTP && !slices.Contains(addresses, address) {
+			addresses = append(addresses, address)
+		}
+	}
+	for _, peer := range known {
+		add(peer.HTTP)
+	}
+	for _, server := range first {
+		add(server.HTTP)
+	}
+	for _, address := range join {
+		add(address)
+	}
+	return addresses
+}
+
 // takeIn takes a server into the cluster: first it only listens, and once it has caught up it has a vote.
 func (s *Server) takeIn(w http.ResponseWriter, r *http.Request) {
 	var p Peer
--- a/internal/listsvc/server_test.go
+++ b/internal/listsvc/server_test.go
@@ -265,6 +265,20 @@
 	}
 }
 
+// A server that is removed asks whoever may know of it, also where the list's records name nobody yet: it was removed before they came.
+func TestARemovedServerAsksTheAddressesOfItsSettings(t *testing.T) {
+	own := Peer{ID: "i", Name: "l2", HTTP: "10.0.0.2:80"}
+	first := []First{{"l0", "10.0.0.0:80"}, {"l1", "10.0.0.1:80"}, {"l2", "10.0.0.2:80"}}
+	got := otherAddresses(own, []Peer{own}, first, []string{"10.0.0.9:80"})
+	if !slices.Equal(got, []string{"10.0.0.0:80", "10.0.0.1:80", "10.0.0.9:80"}) {
+		t.Errorf("%v", got)
+	}
+	got = otherAddresses(own, []Peer{own, {ID: "j", HTTP: "10.0.0.1:80"}, {ID: "k"}}, first, nil)
+	if !slices.Equal(got, []string{"10.0.0.1:80", "10.0.0.0:80"}) {
+		t.Errorf("%v", got)
+	}
+}
+
 // A server that is removed ends by itself, and the others go on.
 func TestARemovedServerEnds(t *testing.T) {
 	all := fleet(t, 3)
--- a/internal/mutation/listed.go
+++ b/internal/mutation/listed.go
@@ -263,7 +263,7 @@
 			"\tif refused && since >= returnedAfter", "\tif refused && since >= returnedAfter && g.inTouch", controlTests},
 		{"control: instances expire while out of touch", process,
 			"\tp.instances.SetInTouch(now, fresh)\n", "\tp.instances.SetInTouch(now, true)\n", controlTests},
-		{"control: a discarded store founds a system", process,
+		{"control: a discarded store founds a system", "internal/control/build.go",
 			"set.Bootstrap && !store.discarded", "set.Bootstrap", controlTests},
 		{"control: a departure is acknowledged without waiting", "internal/control/instances.go",
 			"if safe != nil && !awaitChange(safe, replicatedWithin) {", "if safe != nil && !awaitChange(safe, 0) && id == 0 {", controlTests},
