review: case 1 with a longer pause of the operator

Cause: the zone was emptied again 0.3 s after it was taken back, which is shorter than need be. Change: 2 s, and a process that stands still for 4.5 s (5 s is the limit).

--- a/review/standin/evac.go
+++ b/review/standin/evac.go
@@ -13,8 +13,8 @@
 const (
 	evacZone     = 1                       // index in places
 	evacLimit    = 95 * time.Second        // of all rounds
-	evacFrozen   = 2 * time.Second         // how long the process stands still
-	evacAgain    = 300 * time.Millisecond  // from the acknowledgement that the zone is taken back until it is emptied again
+	evacFrozen   = 4500 * time.Millisecond // how long the process stands still
+	evacAgain    = 2 * time.Second         // from the acknowledgement that the zone is taken back until it is emptied again
 	evacBound    = 5 * time.Second         // evacMs of the settings
 	contactBound = 4 * time.Second         // contactMs of the settings
 	evacLook     = 1500 * time.Millisecond // from the end of the freeze; whether requests come again
