Review: DRAIN is broken when all control processes are killed after a departure

Cause: the control processes hold a departing endpoint in memory alone. An endpoint that leaves with DELETE sends no heartbeats any more, so that its acknowledged departure is forgotten when all of them are killed at once, and a relay that lost its source just before goes on sending to it.

--- a/review/standin/endpoint.go
+++ b/review/standin/endpoint.go
@@ -31,10 +31,11 @@
 	listener net.Listener
 	handle   func(e *endpoint, w *bufio.Writer, conn net.Conn, r *http.Request, body []byte) bool // false: close the connection
 
-	mu   sync.Mutex
-	seq  int
-	runs []run
-	stop chan struct{}
+	mu      sync.Mutex
+	seq     int
+	runs    []run
+	leaving bool // its answers carry "Connection: close"
+	stop    chan struct{}
 }
 
 // startEndpoint starts an endpoint on an address of the deployment's subnet.
@@ -139,11 +140,50 @@
 	}
 }
 
+// stopBeats ends the heartbeats.
+func (e *endpoint) stopBeats() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	select {
+	case <-e.stop:
+	default:
+		close(e.stop)
+	}
+}
+
 func (e *endpoint) close() {
-	close(e.stop)
+	e.stopBeats()
 	e.listener.Close()
 }
 
+// leave ends the heartbeats and tells the control processes that the endpoint is gone, one after the other until one acknowledges it.
+// The endpoint serves on.
+func (e *endpoint) leave(r *record, within time.Duration) (time.Time, bool) {
+	e.stopBeats()
+	e.mu.Lock()
+	e.leaving = true
+	e.mu.Unlock()
+	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	until := time.Now().Add(within)
+	for i := 0; time.Now().Before(until); i++ {
+		m := e.system.controls[i%len(e.system.controls)]
+		request, _ := http.NewRequest(http.MethodDelete, "http://"+m.at(portControl)+"/instances/"+e.id, nil)
+		response, err := client.Do(request)
+		if err != nil {
+			r.note("DELETE /instances/%s to %s: no answer", e.id, m.name)
+			continue
+		}
+		io.Copy(io.Discard, response.Body)
+		response.Body.Close()
+		r.note("DELETE /instances/%s to %s: %d", e.id, m.name, response.StatusCode)
+		if response.StatusCode/100 == 2 {
+			return time.Now(), true
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	return time.Time{}, false
+}
+
 // allRuns returns what all endpoints ran.
 func allRuns(endpoints []*endpoint) []run {
 	var runs []run
@@ -161,6 +201,12 @@
 	id := r.Header.Get("X-Request-Id")
 	body := `{"confirmed":"` + id + `"}`
 	e.head(w, id, "application/json")
+	e.mu.Lock()
+	leaving := e.leaving
+	e.mu.Unlock()
+	if leaving {
+		fmt.Fprint(w, "Connection: close\r\n")
+	}
 	fmt.Fprintf(w, "Content-Length: %d\r\n\r\n%s", len(body), body)
-	return w.Flush() == nil
+	return w.Flush() == nil && !leaving
 }
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -37,7 +37,8 @@
 
 // cases are the scripts by name. Each gets the folder of the repository and whether the disruption is to happen.
 var cases = map[string]func(root string, trouble bool, r *record) int{
-	"evac": evacCase,
+	"evac":  evacCase,
+	"drain": drainCase,
 }
 
 func main() {
--- a/review/standin/system.go
+++ b/review/standin/system.go
@@ -51,6 +51,7 @@
 	root     string // of the repository
 	dir      string // temporary folder with settings, stores and logs
 	subnet   string
+	founded  bool // the first start is over
 	controls []*machine
 	relays   []*machine
 }
@@ -124,7 +125,7 @@
 	}
 	text := fmt.Sprintf("node = %q\nrole = %q\nmachineClass = %q\nserves = %s\nip = %q\nzone = %q\nregion = %q\nportRange = [%d, %d]\nseeds = [%s]\n",
 		m.name, role, class, serves, m.ip, m.zone, m.region, portInternal, portLast, strings.Join(seeds, ", "))
-	text += fmt.Sprintf("bootstrap = true\ncountsForQuorum = %t\n%sdiscovery = \"registry\"\nentry = \"directory\"\nheartbeatMs = 1200\n", m.control, data)
+	text += fmt.Sprintf("bootstrap = %t\ncountsForQuorum = %t\n%sdiscovery = \"registry\"\nentry = \"directory\"\nheartbeatMs = 1200\n", !s.founded, m.control, data)
 	text += "contracts = [\"base\", \"drain\", \"config\", \"cost\", \"retry\", \"recover\", \"engine\", \"stream\", \"places\"]\n[zones]\n"
 	for _, p := range places {
 		text += fmt.Sprintf("%s = %q\n", p.zone, p.region)
@@ -189,6 +190,30 @@
 	return command.Start()
 }
 
+// killAll kills the processes of machines at the same moment.
+func killAll(machines []*machine) {
+	for _, m := range machines {
+		m.process.Process.Kill() // fails where it has ended
+	}
+	for _, m := range machines {
+		<-m.exited
+	}
+}
+
+// startAgain starts the processes of machines again, as after the first start of the system: `bootstrap` is false.
+func (s *system) startAgain(machines []*machine) error {
+	s.founded = true
+	for _, m := range machines {
+		if err := s.writeSettings(m); err != nil {
+			return err
+		}
+		if err := s.start(m); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // startAll starts all processes.
 func (s *system) startAll() error {
 	for _, m := range append(append([]*machine{}, s.controls...), s.relays...) {
