Review: a late extra answer makes an unsafe request run twice (TWICE)

Cause: the pool keeps a request off a connection only if its last request has the same id. With another request in between, a request that was declined is sent on the same connection again, and an extra copy of the 503 that comes late is taken for the answer to the second send, while the endpoint runs it.

--- a/review/standin/endpoint.go
+++ b/review/standin/endpoint.go
@@ -27,11 +27,13 @@
 	id      string
 	backend string
 	place
-	address  string
-	listener net.Listener
-	handle   func(e *endpoint, w *bufio.Writer, conn net.Conn, r *http.Request, body []byte) bool // false: close the connection
+	address   string
+	listener  net.Listener
+	serveConn func(e *endpoint, conn net.Conn)                                                     // serves a connection in place of serve and handle; may be nil
+	handle    func(e *endpoint, w *bufio.Writer, conn net.Conn, r *http.Request, body []byte) bool // false: close the connection
 
 	mu      sync.Mutex
+	slots   int
 	seq     int
 	runs    []run
 	leaving bool // its answers carry "Connection: close"
@@ -42,15 +44,27 @@
 func startEndpoint(s *system, number int, backend string, p place,
 	handle func(*endpoint, *bufio.Writer, net.Conn, *http.Request, []byte) bool,
 ) (*endpoint, error) {
-	e := &endpoint{system: s, id: fmt.Sprintf("i-%08x", 0x7f3a0000+number), backend: backend, place: p, handle: handle, stop: make(chan struct{})}
+	e := newEndpoint(s, number, backend, p)
+	e.handle = handle
+	return e, e.start()
+}
+
+// newEndpoint returns an endpoint that isn't started yet.
+func newEndpoint(s *system, number int, backend string, p place) *endpoint {
+	e := &endpoint{system: s, id: fmt.Sprintf("i-%08x", 0x7f3a0000+number), backend: backend, place: p, slots: 64, stop: make(chan struct{})}
 	e.address = fmt.Sprintf("%s.%d:%d", s.subnet, 101+number, portEndpoint)
+	return e
+}
+
+// start starts an endpoint.
+func (e *endpoint) start() error {
 	var err error
 	if e.listener, err = net.Listen("tcp4", e.address); err != nil {
-		return nil, err
+		return err
 	}
 	go e.accept()
 	go e.beat()
-	return e, nil
+	return nil
 }
 
 func (e *endpoint) accept() {
@@ -59,6 +73,10 @@
 		if err != nil {
 			return
 		}
+		if e.serveConn != nil {
+			go e.serveConn(e, conn)
+			continue
+		}
 		go e.serve(conn)
 	}
 }
@@ -112,7 +130,7 @@
 		e.mu.Lock()
 		e.seq++
 		body, _ := json.Marshal(map[string]any{
-			"backend": e.backend, "address": e.address, "zone": e.zone, "generation": "v1", "slots": 64, "state": "ready",
+			"backend": e.backend, "address": e.address, "zone": e.zone, "generation": "v1", "slots": e.slots, "state": "ready",
 			"warmupMs": 0, "phase": "dual", "models": []map[string]any{{"name": "m", "generation": 1, "loras": []string{}}}, "seq": e.seq,
 		})
 		e.mu.Unlock()
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -39,6 +39,7 @@
 var cases = map[string]func(root string, trouble bool, r *record) int{
 	"evac":  evacCase,
 	"drain": drainCase,
+	"twice": twiceCase,
 }
 
 func main() {
