--- a/internal/control/api.go
+++ b/internal/control/api.go
@@ -122,38 +122,13 @@
 	httpapi.Refuse(w, http.StatusServiceUnavailable, "the body did not come whole: "+err.Error())
 }
 
-func (p *Process) evacuate(w http.ResponseWriter, r *http.Request, params httprouter.Params) {
-	p.submitZoneOrder(w, r, config.Evacuate, params.ByName("zone"))
-}
-
-func (p *Process) restore(w http.ResponseWriter, r *http.Request, params httprouter.Params) {
-	p.submitZoneOrder(w, r, config.Restore, params.ByName("zone"))
-}
-
-func (p *Process) submitZoneOrder(w http.ResponseWriter, r *http.Request, kind config.OrderKind, zone string) {
-	if _, known := p.settings.Zones[zone]; !known {
-		httpapi.Refuse(w, http.StatusNotFound, "no zone "+zone)
-		return
-	}
-	p.submit(w, r, p.zoneOrder(kind, zone))
-}
-
-// zoneOrder returns an order to evacuate or restore a zone. It carries the number of changes that this process knows of.
-func (p *Process) zoneOrder(kind config.OrderKind, zone string) config.Order {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	order := config.Order{Kind: kind, Zone: zone, HasKnownChanges: true}
-	if state := p.published.state; state != nil {
-		order.KnownChanges = state.Changes()
-	}
-	return order
-}
-
-// submit submits an order, a change requested by an operator, to the chain and answers with its outcome. An order whose client has
-// disconnected is not started, since the client sends it to another process.
+// submit submits an order, a change requested by an operator, to the chain and answers with its outcome. An order whose caller has
+// disconnected is not started: the caller takes it for unanswered and sends it to another process, and may meanwhile have ordered
+// otherwise.
 func (p *Process) submit(w http.ResponseWriter, r *http.Request, order config.Order) {
-	if r.Context().Err() != nil {
-		httpapi.Refuse(w, http.StatusServiceUnavailable, "the caller has gone")
+	if httpapi.CallerGone(r) {
+		p.log.Info("order not started, since its caller has disconnected", "order", order.Kind, "zone", order.Zone, "from", r.RemoteAddr)
+		httpapi.Refuse(w, http.StatusServiceUnavailable, "the caller has disconnected")
 		return
 	}
 	timeout := answerTimeout
--- a/internal/control/process.go
+++ b/internal/control/process.go
@@ -6,6 +6,7 @@
 	"math/rand"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -34,6 +35,8 @@
 	trafficReporter transport.Reporter
 	writer          *writer
 
+	knownChanges atomic.Uint64 // config.State.Changes of the published state; written with mu held
+
 	mu        sync.Mutex
 	chain     *chain.Node             // replicates the configuration
 	members   *swim.Node              // membership: which processes are alive
--- a/internal/control/program.go
+++ b/internal/control/program.go
@@ -28,7 +28,7 @@
 		if address == "" {
 			continue
 		}
-		server, err := httpapi.Listen(address, handler)
+		server, err := httpapi.Listen(httpapi.Options{Address: address, Handler: handler, OnAccept: process.OnAccept})
 		if err != nil {
 			return trace.Wrap(err)
 		}
--- a/internal/control/simulation_actors_test.go
+++ b/internal/control/simulation_actors_test.go
@@ -311,7 +311,7 @@
 	versions       map[uint64]*versionRecord
 	currentVersion uint64 // newest version that an operator knows to be committed
 	acks           []ackedVersion
-	zones          map[string]zoneOrder
+	zones          map[string]operatorZone
 }
 
 // versionRecord is what is known about one version of the configuration.
@@ -326,8 +326,8 @@
 	at     time.Time
 }
 
-// zoneOrder is the newest order to evacuate or restore a zone.
-type zoneOrder struct {
+// operatorZone is the newest order to evacuate or restore a zone.
+type operatorZone struct {
 	evacuated bool
 	acked     bool
 	at        time.Time // of the acknowledgement
@@ -465,10 +465,10 @@
 func (o *operatorMachine) evacuate() {
 	sim := o.sim
 	if sim.history.zones == nil {
-		sim.history.zones = make(map[string]zoneOrder)
+		sim.history.zones = make(map[string]operatorZone)
 	}
 	zone := sim.zones[sim.random.Intn(len(sim.zones))]
-	order := zoneOrder{evacuated: !sim.history.zones[zone].evacuated}
+	order := operatorZone{evacuated: !sim.history.zones[zone].evacuated}
 	o.order = config.Order{Kind: config.Restore, Zone: zone}
 	if order.evacuated {
 		o.order.Kind = config.Evacuate
@@ -478,7 +478,7 @@
 		if status != http.StatusOK {
 			return false
 		}
-		sim.history.zones[zone] = zoneOrder{evacuated: order.evacuated, acked: true, at: sim.now}
+		sim.history.zones[zone] = operatorZone{evacuated: order.evacuated, acked: true, at: sim.now}
 		return true
 	}
 }
@@ -510,7 +510,7 @@
 	lost := sim.random.Intn(lostAnswerDivisor) == 0
 	order := o.order
 	if order.Zone != "" {
-		order = c.process.zoneOrder(order.Kind, order.Zone)
+		order = zoneOrder(order.Kind, order.Zone, c.process.knownChanges.Load())
 	}
 	sim.callChain(c, c.process.submission(order), func(answer chain.Answer) {
 		status, body := orderResponse(answer)
--- a/internal/control/socket_operator_test.go
+++ b/internal/control/socket_operator_test.go
@@ -29,16 +29,30 @@
 func newServedCluster(t *testing.T) (c *socketCluster, server *httpapi.Server) {
 	t.Helper()
 	c = newSocketCluster(t, 3)
-	server, err := httpapi.Listen("127.0.0.1:0", c.machines[0].process.ControlHandler())
+	server = c.machines[0].listen(t)
+	serveUntilEnd(t, server)
+	c.putVersion(1)
+	return c, server
+}
+
+// listen returns the HTTP server of a process as in production, which does not serve yet.
+func (m *socketMachine) listen(t *testing.T) *httpapi.Server {
+	t.Helper()
+	server, err := httpapi.Listen(httpapi.Options{
+		Address: "127.0.0.1:0", Handler: m.process.ControlHandler(), OnAccept: m.process.OnAccept,
+	})
 	assert.NilError(t, err)
+	return server
+}
+
+// serveUntilEnd serves until the test ends.
+func serveUntilEnd(t *testing.T, server *httpapi.Server) {
 	served := make(chan error, 1)
 	go func() { served <- server.Serve() }()
 	t.Cleanup(func() {
 		server.ShutDown()
 		assert.NilError(t, <-served)
 	})
-	c.putVersion(1)
-	return c, server
 }
 
 // putVersion puts a version at the first process, and retries until it is accepted.
--- a/internal/dataplane/program.go
+++ b/internal/dataplane/program.go
@@ -37,7 +37,7 @@
 	readyServer := process.server.MonitoringServer(process.collectMetrics)
 	serveErrors := make(chan error, 3)
 	if cfg.Listen.Directory != "" {
-		directory, err := httpapi.Listen(cfg.Listen.Directory, process.DirectoryHandler())
+		directory, err := httpapi.Listen(httpapi.Options{Address: cfg.Listen.Directory, Handler: process.DirectoryHandler()})
 		if err != nil {
 			return trace.Wrap(err)
 		}
--- a/internal/httpapi/httpapi.go
+++ b/internal/httpapi/httpapi.go
@@ -69,18 +69,28 @@
 	listener net.Listener
 }
 
-// Listen creates a server that listens on address. Serve starts it.
-func Listen(address string, handler http.Handler) (*Server, error) {
+// Options are the settings of a Server.
+type Options struct {
+	Address string // listen address
+	Handler http.Handler
+	// OnAccept derives the context of a connection's requests from a given one, right after the connection was accepted; nil: it stays
+	// as it is.
+	OnAccept func(context.Context) context.Context
+}
+
+// Listen creates a server that listens on the given address. Serve starts it.
+func Listen(settings Options) (*Server, error) {
 	var options net.ListenConfig
 	options.SetMultipathTCP(false)
-	listener, err := options.Listen(context.Background(), "tcp4", address)
+	listener, err := options.Listen(context.Background(), "tcp4", settings.Address)
 	if err != nil {
 		return nil, trace.ConvertSystemError(err)
 	}
 	server := &http.Server{
-		Handler:           handler,
+		Handler:           http.HandlerFunc(settings.serveHTTP),
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
+		ConnContext:       settings.connContext,
 	}
 	return &Server{server: server, listener: listener}, nil
 }
--- a/internal/mutation/listed.go
+++ b/internal/mutation/listed.go
@@ -256,6 +256,10 @@
 	return []mistake{
 		{"seeds: a process that starts again does not look for the voters", process,
 			"\t\tif !slices.Contains(addresses, voter.Address) {", "\t\tif false {", controlTests},
+		{"control: an order is started though its caller has disconnected", "internal/httpapi/caller.go",
+			"return c != nil && socket.Look(c.raw) == socket.Closed", "return c != nil && socket.Look(c.raw) == socket.Unknown", controlTests},
+		{"fencing: an order delayed in the network is dated when it is handled", "internal/control/zone_orders.go",
+			"ok && httpapi.IsFirstOnConnection(r) {", "ok && !httpapi.IsFirstOnConnection(r) && false {", controlTests},
 		{"control: the feed says fresh while out of touch", process, "\tp.feed.SetFresh(fresh)\n", "\tp.feed.SetFresh(true)\n", controlTests},
 		{"control: a ready endpoint is acknowledged by a process that is cut off", "internal/control/heartbeats.go",
 			"\tg.refusals[instance] = now\n\treturn true\n", "\tg.refusals[instance] = now\n\treturn false\n", controlTests},
--- a/internal/proxy/acceptor.go
+++ b/internal/proxy/acceptor.go
@@ -8,6 +8,8 @@
 	"os"
 	"sync"
 	"time"
+
+	"wallflow/internal/socket"
 )
 
 const (
@@ -117,7 +119,7 @@
 
 // track registers a newly accepted connection.
 func (a *acceptor) track(conn net.Conn) *client {
-	c := &client{Conn: conn, raw: rawConnOf(conn), state: http.StateNew, stateSince: time.Now()}
+	c := &client{Conn: conn, raw: socket.Raw(conn), state: http.StateNew, stateSince: time.Now()}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.clients[c] = struct{}{}
--- a/internal/proxy/client.go
+++ b/internal/proxy/client.go
@@ -10,6 +10,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"wallflow/internal/socket"
 )
 
 const (
@@ -157,15 +159,7 @@
 
 // hasUnread reports whether bytes have arrived that were not read yet.
 func (c *client) hasUnread() bool {
-	if c.raw == nil {
-		return false
-	}
-	var n int
-	c.raw.Control(func(fd uintptr) { // fails on a closed connection, where nothing is unread
-		var probe [1]byte
-		n, _, _ = syscall.Recvfrom(int(fd), probe[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	})
-	return n > 0
+	return socket.Look(c.raw) == socket.Readable
 }
 
 // Close closes the connection. If it closes after a response while bytes are unread, it first closes the sending side and discards
@@ -189,16 +183,3 @@
 	}
 	return nil
 }
-
-// rawConnOf returns the raw socket of a connection, or nil if it has none.
-func rawConnOf(conn net.Conn) syscall.RawConn {
-	socket, ok := conn.(syscall.Conn)
-	if !ok {
-		return nil
-	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
-		return nil
-	}
-	return raw
-}
--- a/internal/proxy/drain_test.go
+++ b/internal/proxy/drain_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"wallflow/internal/config"
+	"wallflow/internal/socket"
 )
 
 // respondAfter responds once ready is closed.
@@ -173,7 +174,7 @@
 // A request that arrives just after its connection was expired as idle is served.
 func TestRequestDuringIdleExpiryIsServed(t *testing.T) {
 	conn, peer := socketPair(t)
-	c := &client{Conn: conn, raw: rawConnOf(conn), state: http.StateIdle}
+	c := &client{Conn: conn, raw: socket.Raw(conn), state: http.StateIdle}
 	deadline := time.Now().Add(testTime)
 	assert.NilError(t, c.SetReadDeadline(deadline))
 	assert.Assert(t, c.expireIfIdle())
@@ -191,7 +192,7 @@
 
 func TestConnectionWithUnreadBytesIsNotExpired(t *testing.T) {
 	conn, peer := socketPair(t)
-	c := &client{Conn: conn, raw: rawConnOf(conn), state: http.StateIdle}
+	c := &client{Conn: conn, raw: socket.Raw(conn), state: http.StateIdle}
 	_, err := io.WriteString(peer, "GET")
 	assert.NilError(t, err)
 	relay := &testRelay{t: t}
@@ -201,7 +202,7 @@
 
 func TestExpiryEndsPendingRead(t *testing.T) {
 	conn, _ := socketPair(t)
-	c := &client{Conn: conn, raw: rawConnOf(conn), state: http.StateIdle}
+	c := &client{Conn: conn, raw: socket.Raw(conn), state: http.StateIdle}
 	readErr := make(chan error)
 	go func() {
 		_, err := c.Read(make([]byte, 1))
@@ -217,7 +218,7 @@
 // A connection is not idle if a part of the next request was read before the current response was complete.
 func TestConnectionWithPipelinedRequestIsNotIdle(t *testing.T) {
 	conn, peer := socketPair(t)
-	c := &client{Conn: conn, raw: rawConnOf(conn), state: http.StateActive, requestStarted: true}
+	c := &client{Conn: conn, raw: socket.Raw(conn), state: http.StateActive, requestStarted: true}
 	ctx := withClient(context.Background(), c)
 	markRequestRead(ctx)
 	_, err := io.WriteString(peer, "G")
@@ -232,7 +233,7 @@
 // Closing a connection with unread bytes would reset it. The response must reach the client nevertheless.
 func TestResponseBeforeEndOfRequestIsNotLostToReset(t *testing.T) {
 	conn, peer := socketPair(t)
-	c := &client{Conn: conn, raw: rawConnOf(conn), state: http.StateActive}
+	c := &client{Conn: conn, raw: socket.Raw(conn), state: http.StateActive}
 	_, err := io.WriteString(peer, "unread")
 	assert.NilError(t, err)
 	relay := &testRelay{t: t}
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -8,6 +8,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"wallflow/internal/socket"
 )
 
 const (
@@ -81,16 +83,8 @@
 // stale reports whether a read on an idle connection would return at once: the endpoint has closed the connection, or has sent
 // bytes that belong to no request.
 func (c *connection) stale() bool {
-	if c.raw == nil {
-		return false
-	}
-	readable := true
-	err := c.raw.Control(func(fd uintptr) {
-		var probe [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), probe[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		readable = err != syscall.EAGAIN && err != syscall.EINTR
-	})
-	return err != nil || readable
+	state := socket.Look(c.raw)
+	return state == socket.Readable || state == socket.Closed
 }
 
 // send writes the request, with a single write if the body is small. It returns the number of bytes written.
@@ -151,17 +145,4 @@
 // tcpUserTimeout is TCP_USER_TIMEOUT, which the syscall package does not define on every platform.
 const tcpUserTimeout = 0x12
 
-// rawConnOf returns the raw socket of a connection, or nil if it has none.
-func rawConnOf(conn net.Conn) syscall.RawConn {
-	socket, ok := conn.(syscall.Conn)
-	if !ok {
-		return nil
-	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
-		return nil
-	}
-	return raw
-}
-
 var _ io.Reader = (*connection)(nil)
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -8,6 +8,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"wallflow/internal/socket"
 )
 
 const (
@@ -202,7 +204,7 @@
 	if p.options.OnConnect != nil {
 		p.options.OnConnect(target.InstanceID, p.options.Now().Sub(dialStart))
 	}
-	c := &connection{Conn: conn, raw: rawConnOf(conn), pool: p, endpoint: e, headBytesLeft: -1}
+	c := &connection{Conn: conn, raw: socket.Raw(conn), pool: p, endpoint: e, headBytesLeft: -1}
 	if c.stale() { // an endpoint at its connection limit accepts further connections and resets them
 		conn.Close()
 		p.dialFailed(e)
