Never send a request again on a connection that carried it (TWICE, REFUSED)

Cause: a declined request is sent to its endpoint again with the same id. The pool kept it off a connection whose last request had that id, but not off one that had carried another request in between; there a late copy of the decline was taken for the answer to the second send.

Fix: the request remembers the connections that were used for it and is never sent on one of them again, so that an id names one attempt on a connection. Where the limit on connections is reached, an idle connection that can't be used for the request is replaced by a new one; before, the endpoint counted as full for as long.

--- a/internal/mutation/listed.go
+++ b/internal/mutation/listed.go
@@ -245,6 +245,8 @@
 		{"requests: a later try forgets that an earlier one may have run", "internal/proxy/attempt.go",
 			"e.mayHaveRun = e.mayHaveRun || outcome.MayHaveRun", "e.mayHaveRun = outcome.MayHaveRun", proxyTests},
 		{"requests: an answer to another request is taken", exchange, "if id == request.ID {", "if id != \"\" {", proxyTests},
+		{"requests: one is sent again on a connection that carried it before", "internal/upstream/request.go",
+			"(c.lastRequestID == r.ID || slices.Contains(r.sentOn, c.number))", "(c.lastRequestID == r.ID || slices.Contains(r.sentOn, 0))", proxyTests},
 		{"requests: one that was partly sent is sent again", exchange, "if n == 0 && kind != Canceled {", "if kind != Canceled {", proxyTests},
 		{"requests: one that got no answer is sent again", exchange, "if failure.Kind == NotSent && reused", "if reused", proxyTests},
 		{"requests: nothing sent counts as run", "internal/upstream/errors.go", "bool { return e.Sent }", "bool { return false }", proxyTests},
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -30,9 +30,13 @@
 	}}
 )
 
+// connectionNumber identifies a connection within the life of its pool.
+type connectionNumber uint64
+
 // connection is a connection to an endpoint. It carries one exchange at a time.
 type connection struct {
 	net.Conn
+	number   connectionNumber
 	raw      syscall.RawConn // nil if the connection is not a socket
 	pool     *Pool
 	endpoint *endpoint
@@ -68,6 +72,7 @@
 	c.reader = readerPool.Get().(*bufio.Reader)
 	c.reader.Reset(c)
 	c.lastRequestID = request.ID
+	request.sentOn = append(request.sentOn, c.number)
 	return c.SetDeadline(request.Deadline)
 }
 
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -62,9 +62,10 @@
 type Pool struct {
 	options Options
 
-	mu        sync.Mutex
-	endpoints map[string]*endpoint // by instance id
-	stats     Stats
+	mu         sync.Mutex
+	endpoints  map[string]*endpoint // by instance id
+	lastNumber connectionNumber     // of the connections dialed so far
+	stats      Stats
 }
 
 // endpoint holds the connections to one instance. Pool.mu guards it.
@@ -184,17 +185,25 @@
 
 // acquire returns an idle connection that appears to be alive, or a new one.
 func (p *Pool) acquire(ctx context.Context, target Target, request *Request) (*connection, error) {
-	e, reused, err := p.reserve(target, request.ID)
+	reserved, err := p.reserve(target, request)
 	if err != nil {
 		return nil, &Error{Kind: PoolExhausted, InstanceID: target.InstanceID, Err: err}
 	}
-	if reused != nil {
-		return reused, nil
+	if reserved.replaced != nil {
+		reserved.replaced.Conn.Close()
 	}
+	if reserved.reused != nil {
+		return reserved.reused, nil
+	}
+	return p.connect(ctx, target, reserved)
+}
+
+// connect dials the connection that was reserved.
+func (p *Pool) connect(ctx context.Context, target Target, reserved reservation) (*connection, error) {
 	dialStart := p.options.Now()
 	conn, err := p.dial(ctx, target)
 	if err != nil {
-		p.dialFailed(e)
+		p.dialFailed(reserved.endpoint)
 		kind := ConnectFailed
 		if ctx.Err() != nil {
 			kind = Canceled
@@ -204,17 +213,28 @@
 	if p.options.OnConnect != nil {
 		p.options.OnConnect(target.InstanceID, p.options.Now().Sub(dialStart))
 	}
-	c := &connection{Conn: conn, raw: socket.Raw(conn), pool: p, endpoint: e, headBytesLeft: -1}
+	c := &connection{
+		Conn: conn, number: reserved.number, raw: socket.Raw(conn), pool: p, endpoint: reserved.endpoint, headBytesLeft: -1,
+	}
 	if c.stale() { // an endpoint at its connection limit accepts further connections and resets them
 		conn.Close()
-		p.dialFailed(e)
+		p.dialFailed(reserved.endpoint)
 		return nil, &Error{Kind: ConnectFailed, InstanceID: target.InstanceID, Err: errClosedOnConnect}
 	}
 	return c, nil
 }
 
-// reserve returns an idle connection, or counts a new one as open, which the caller is to dial.
-func (p *Pool) reserve(target Target, requestID string) (*endpoint, *connection, error) {
+// reservation is a connection that a request may use: an idle one, or one that the caller is to dial.
+type reservation struct {
+	endpoint *endpoint
+	reused   *connection      // nil: a new connection was counted as open
+	number   connectionNumber // of the new connection
+	replaced *connection      // to be closed, since the new connection takes its place within the limit; may be nil
+}
+
+// reserve returns an idle connection, or counts a new one as open, which the caller is to dial. If the limit allows no further connection
+// and those that are idle can't be used for this request, the new connection replaces one of them.
+func (p *Pool) reserve(target Target, request *Request) (reservation, error) {
 	now := p.options.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -223,29 +243,32 @@
 		e = &endpoint{instanceID: target.InstanceID}
 		p.endpoints[target.InstanceID] = e
 	}
-	if reused := p.popIdle(e, requestID, now); reused != nil {
+	if reused := p.popIdle(e, request, now); reused != nil {
 		p.stats.Reused++
-		return e, reused, nil
+		return reservation{endpoint: e, reused: reused}, nil
 	}
+	var replaced *connection
 	if target.MaxConns > 0 && e.openCount >= target.MaxConns {
-		return nil, nil, errAllBusy
+		if replaced = p.removeOldestIdle(e); replaced == nil {
+			return reservation{}, errAllBusy
+		}
 	}
 	e.openCount++
+	p.lastNumber++
 	p.stats.Open++
 	p.stats.Dials++
-	return e, nil, nil
+	return reservation{endpoint: e, number: p.lastNumber, replaced: replaced}, nil
 }
 
-// popIdle removes and returns the most recently used idle connection, or nil. It closes connections that are expired or stale. It
-// does not use a connection whose last request has the same id: a delayed response to that attempt could be mistaken for the
-// response to this one. The caller holds the lock.
-func (p *Pool) popIdle(e *endpoint, requestID string, now time.Time) *connection {
+// popIdle removes and returns the most recently used idle connection on which the request was not sent before, or nil. It closes
+// connections that are expired or stale. The caller holds the lock.
+func (p *Pool) popIdle(e *endpoint, request *Request, now time.Time) *connection {
 	for i := len(e.idle) - 1; i >= 0; i-- {
 		c := e.idle[i]
-		if requestID != "" && c.lastRequestID == requestID {
+		if request.wasSentOn(c) {
 			continue
 		}
-		e.idle = append(e.idle[:i], e.idle[i+1:]...)
+		e.idle = slices.Delete(e.idle, i, i+1)
 		if now.Before(c.expiresAt) && !c.stale() {
 			return c
 		}
@@ -256,6 +279,17 @@
 	return nil
 }
 
+// removeOldestIdle removes and returns the idle connection that was used least recently, or nil. The caller holds the lock and closes it.
+func (p *Pool) removeOldestIdle(e *endpoint) *connection {
+	if len(e.idle) == 0 {
+		return nil
+	}
+	oldest := e.idle[0]
+	e.idle = slices.Delete(e.idle, 0, 1)
+	p.countClosed(e, 1)
+	return oldest
+}
+
 // dialFailed counts a failed connection attempt.
 func (p *Pool) dialFailed(e *endpoint) {
 	p.mu.Lock()
--- a/internal/upstream/request.go
+++ b/internal/upstream/request.go
@@ -2,12 +2,14 @@
 
 import (
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
 )
 
-// Request is an HTTP request to an endpoint.
+// Request is an HTTP request to an endpoint. It may be passed to Pool.Do several times, one after the other, and is then sent on another
+// connection each time.
 type Request struct {
 	Method        string
 	RequestTarget string // as in the request line, byte for byte
@@ -16,6 +18,15 @@
 	Body          []byte      // the complete body
 	ID            string      // the response must have it in X-Request-Id
 	Deadline      time.Time   // the exchange then fails with TimedOut; zero: no deadline
+
+	sentOn []connectionNumber // the connections that were used for it
+}
+
+// wasSentOn reports whether a connection has carried this request, or as the last one a request with the same id. A delayed response to
+// that attempt could be mistaken for the response to another one on the same connection, since they have the same id, however many
+// other requests the connection has carried in between.
+func (r *Request) wasSentOn(c *connection) bool {
+	return r.ID != "" && (c.lastRequestID == r.ID || slices.Contains(r.sentOn, c.number))
 }
 
 // HTTP headers that the pool reads or sets.
