listsvc: a report without members does not show a removal

Cause: a follower knows the leader before it has received the members. A founder that asked it in that moment whether it was removed found itself missing in an empty list.

Change: a report without members is ignored. A server whose disk failed before it had members is waited for, and no longer taken for a member of another cluster, which also ended the one that asked.

--- a/internal/listsvc/control.go
+++ b/internal/listsvc/control.go
@@ -223,6 +223,9 @@
 		if err := s.callPeer(ctx, http.MethodGet, initial.HTTP, "/cluster/status", nil, &report); err != nil {
 			return fmt.Errorf("waiting for server %s: %w", initial.Name, err)
 		}
+		if report.Failure != "" && len(report.Members) == 0 {
+			return fmt.Errorf("waiting for server %s, whose disk has failed: %s", initial.Name, report.Failure)
+		}
 		if report.Role != RoleNew {
 			if !slices.ContainsFunc(report.Members, func(m Member) bool { return m.ID == identity.ID }) {
 				return fmt.Errorf("%w: server %s at %s belongs to cluster %s; start this server with --join to join it", ErrClusterExists, initial.Name, initial.HTTP, report.Cluster)
@@ -326,16 +329,23 @@
 	}
 	for _, addr := range peerAddresses(own, s.machine.Servers(), s.opts.Servers, s.opts.Join) {
 		var report Report
-		if s.callPeer(ctx, http.MethodGet, addr, "/cluster/status", nil, &report) != nil || report.Cluster != cluster || report.Leader == "" || report.Commit < s.raft.CommitIndex() {
+		if s.callPeer(ctx, http.MethodGet, addr, "/cluster/status", nil, &report) != nil || report.Cluster != cluster || report.Commit < s.raft.CommitIndex() {
 			continue
 		}
-		if !slices.ContainsFunc(report.Members, func(m Member) bool { return m.ID == own.ID }) {
+		if report.showsRemovalOf(own.ID) {
 			return fmt.Errorf("%w: reported by server %s", ErrRemoved, report.Name)
 		}
 	}
 	return nil
 }
 
+// showsRemovalOf reports whether the status of another server shows that a server is no longer a member of the cluster. A server that has
+// not received the members yet shows nothing of them: while a cluster is founded, a follower knows the leader before it knows the members.
+func (r *Report) showsRemovalOf(id string) bool {
+	isListed := slices.ContainsFunc(r.Members, func(m Member) bool { return m.ID == id })
+	return r.Leader != "" && len(r.Members) > 0 && !isListed
+}
+
 // peerAddresses returns the HTTP addresses at which other servers of the cluster may answer, without duplicates: those in
 // the replicated records, of the initial servers, and of the servers to join.
 func peerAddresses(own Peer, known []Peer, initial []InitialServer, join []string) []string {
