--- a/internal/budget/cold.go
+++ b/internal/budget/cold.go
@@ -20,10 +20,13 @@
 	Slack     float64 // added to the limit
 }
 
+// Total returns the limit.
+func (b ColdBound) Total() float64 { return b.PerSecond*b.Overshoot + b.Slack }
+
 // PerOwner returns the number of requests that one owner may send to an endpoint in any second: less than half of the limit, since
 // there may be two owners while ownership moves, and never more than the configured PerSecond.
 func (b ColdBound) PerOwner() int {
-	share := int((b.PerSecond*b.Overshoot+b.Slack)/maxColdOwners) - 1
+	share := int(b.Total()/maxColdOwners) - 1
 	return max(0, min(share, int(b.PerSecond)))
 }
 
--- a/internal/dataplane/peers.go
+++ b/internal/dataplane/peers.go
@@ -90,7 +90,7 @@
 func (p *Process) homeAddress(members []swim.Member) string {
 	var addresses []string
 	for _, member := range members {
-		if member.Meta.Front != "" && member.Meta.Zone == p.settings.Zone && member.Status == swim.Alive {
+		if isRelay(member) && member.Meta.Zone == p.settings.Zone && member.Status == swim.Alive {
 			addresses = append(addresses, member.Address)
 		}
 	}
@@ -160,7 +160,7 @@
 func (p *Process) currentPeers() peerView {
 	view := peerView{byZone: make(map[string][]string)}
 	for _, member := range p.members.Members() {
-		if member.Meta.Front == "" {
+		if !isRelay(member) {
 			continue
 		}
 		view.names = append(view.names, member.Name)
--- a/internal/dataplane/process.go
+++ b/internal/dataplane/process.go
@@ -50,6 +50,8 @@
 	unreachableZones []string                // as last logged
 	suspectedZones   map[string]bool         // zones of seenZones without a live member now
 	ownership        ownership
+	isolation        isolation
+	isolatedRelays   int            // as last passed to the selector
 	stopping         bool           // set by Stop
 	loads            *workload.Node // the relays' reports of their requests at endpoints
 
@@ -68,7 +70,8 @@
 func Start(cfg *settings.Settings, log *slog.Logger, options Options) (*Process, error) {
 	now := time.Now()
 	seed := processSeed(cfg, now)
-	p := &Process{settings: cfg, log: log, zoneByInstance: make(map[string]string), seenZones: make(map[string]bool)}
+	p := &Process{settings: cfg, log: log, zoneByInstance: make(map[string]string), seenZones: make(map[string]bool),
+		isolation: newIsolation(cfg)}
 	disabled, err := selector.ParseMechanisms(options.Disabled)
 	if err != nil {
 		return nil, trace.Wrap(err)
@@ -204,6 +207,7 @@
 	p.updateSources(now)
 	p.applyFeedOutput(now, p.subscriber.Tick(now))
 	p.updatePeers(now)
+	p.updateIsolation(now)
 	p.homePublisher.SetFresh(p.subscriber.Fresh(now))
 	p.homePublisher.SetComplete(p.subscriber.Complete())
 	p.sendFeed(p.homePublisher.Tick(now).Sends)
--- a/internal/selector/candidates.go
+++ b/internal/selector/candidates.go
@@ -227,6 +227,9 @@
 	if endpoint.list == listColdOwned {
 		earliest = s.coldAdmitAt(now, endpoint)
 	}
+	if isolatedAt := s.isolatedAdmitAt(now, endpoint); isolatedAt.After(earliest) {
+		earliest = isolatedAt
+	}
 	if forced {
 		return earliest
 	}
--- a/internal/selector/choose.go
+++ b/internal/selector/choose.go
@@ -172,6 +172,7 @@
 	if endpoint.skip.needsTrial {
 		endpoint.trialAttempt = attempt
 	}
+	endpoint.lastSentAt = now
 	endpoint.pacer.recordSend(now)
 	endpoint.load.addAttempt(now, attempt, s.prefillRate(endpoint))
 	s.updateBusy(endpoint)
--- a/internal/selector/coldbound.go
+++ b/internal/selector/coldbound.go
@@ -1,23 +1,13 @@
 package selector
 
-import (
-	"time"
-
-	"wallflow/internal/budget"
-)
+import "time"
 
 // maxColdRate is how many requests a second the owner of a cold endpoint may send to it.
 func (s *Selector) maxColdRate(endpoint *endpoint) int {
-	backend := endpoint.service.backend
-	if backend == nil {
+	if endpoint.service.backend == nil {
 		return 0
 	}
-	bound := budget.ColdBound{
-		PerSecond: backend.WarmupPerS,
-		Overshoot: s.options.WarmupOvershoot,
-		Slack:     s.options.WarmupSlack,
-	}
-	return bound.PerOwner()
+	return s.coldBound(endpoint.service).PerOwner()
 }
 
 // coldAdmitAt returns when the owner of a cold endpoint may send to it: now or later. Requests sent while the
--- a/internal/selector/endpoint.go
+++ b/internal/selector/endpoint.go
@@ -18,6 +18,7 @@
 	hash         uint64     // of the instance id
 	removed      bool       // the instance is no longer listed
 	coldUntil    time.Time  // counts as cold until then, whatever the instance announces
+	lastSentAt   time.Time  // when this relay last sent a request to it
 	recheckAt    time.Time  // time of its entry in the timer heap; zero: none
 	skip         skip
 	pacer        pacer
--- a/internal/selector/selector.go
+++ b/internal/selector/selector.go
@@ -29,6 +29,7 @@
 	zoneRelays      int                          // number of relays in this zone, including this one
 	ownsCold        func(instanceID string) bool // whether this relay owns a cold endpoint, so that it may send to it
 	coldLimiter     *budget.ColdLimiter
+	isolatedRelays  int                   // see SetIsolated
 	ruleMatches     map[RuleName]uint64   // how often each failure rule has matched
 	zoneWatches     map[string]*zoneWatch // by zone
 	lastDecisionAt  time.Time             // when Choose was last called
