--- a/internal/control/api.go
+++ b/internal/control/api.go
@@ -43,6 +43,7 @@
 		HasQuorum: p.hasQuorum,
 		Now:       p.clock,
 
+		Departures:  p.listDepartures,
 		HomeRegions: p.homeRegions,
 	})
 }
@@ -71,6 +72,12 @@
 	return p.members.Members()
 }
 
+func (p *Process) listDepartures(after time.Time) []swim.Departure {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.members.Departures(after)
+}
+
 // health handles GET /healthz: it succeeds while this process has a quorum.
 func (p *Process) health(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
 	if !p.hasQuorum() {
--- a/internal/dataplane/directory.go
+++ b/internal/dataplane/directory.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"wallflow/internal/directory"
 	"wallflow/internal/swim"
@@ -14,6 +15,7 @@
 		MaxTTL:  p.settings.Bounds.TTLMax(),
 		Region:  p.settings.Region,
 
+		Departures:  p.listDepartures,
 		HomeRegions: p.homeRegions,
 	}).Handler()
 }
@@ -32,3 +34,9 @@
 	defer p.mu.Unlock()
 	return p.members.Members()
 }
+
+func (p *Process) listDepartures(after time.Time) []swim.Departure {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.members.Departures(after)
+}
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -23,8 +23,11 @@
 // Options configures a Directory.
 type Options struct {
 	Members func() []swim.Member // returns the members that are not known to be dead; called from several goroutines
-	MaxTTL  time.Duration        // upper bound of the TTL of an answer; 0: no bound
-	Region  string               // of this process
+	// Departures returns the members that have left by plan, as far as this process learned of it after the given time; nil: none are
+	// known. Called from several goroutines.
+	Departures func(after time.Time) []swim.Departure
+	MaxTTL     time.Duration // upper bound of the TTL of an answer; 0: no bound
+	Region     string        // of this process
 	// HomeRegions returns the sets of home regions of a host's routes, one per route that has any; nil: no route has home regions.
 	// Called from several goroutines.
 	HomeRegions func(host string) [][]string
@@ -44,13 +47,20 @@
 	if options.Now == nil {
 		options.Now = time.Now
 	}
+	if options.Departures == nil {
+		options.Departures = func(time.Time) []swim.Departure { return nil }
+	}
 	return &Directory{options: options, history: relayHistory{region: options.Region}}
 }
 
 // RecordMembers records the current members, so that the directory can still return relays that disappear from the member list later.
 // It is called about once a second.
 func (d *Directory) RecordMembers() {
-	d.history.record(d.options.Now(), d.options.Members())
+	d.record(d.options.Now(), d.options.Members())
+}
+
+func (d *Directory) record(now time.Time, members []swim.Member) {
+	d.history.record(now, members, d.options.Departures(now.Add(-lostRelayRetention)))
 }
 
 // addresses returns the addresses of the relays for a client. A directory that is isolated from all other regions adds the relays with
@@ -59,7 +69,7 @@
 func (d *Directory) addresses(host, zone, region string) []string {
 	members := d.options.Members()
 	now := d.options.Now()
-	d.history.record(now, members)
+	d.record(now, members)
 	query := query{zone: zone, region: region, homeRegions: d.homeRegionsOf(host)}
 	nearest := query.nearest(members, func() bool { return d.history.expectsReturn(now, query) })
 	if d.options.HasQuorum == nil || d.options.HasQuorum() {
--- a/internal/directory/home_regions_test.go
+++ b/internal/directory/home_regions_test.go
@@ -12,9 +12,10 @@
 // directoryHarness is a directory whose members and clock a test controls, for a host whose routes have home regions.
 type directoryHarness struct {
 	*Directory
-	members   []swim.Member
-	now       time.Time
-	hasQuorum bool
+	members    []swim.Member
+	departures []swim.Departure
+	now        time.Time
+	hasQuorum  bool
 }
 
 func newDirectoryHarness(homeRegions [][]string, members ...swim.Member) *directoryHarness {
@@ -25,11 +26,22 @@
 		HasQuorum:   func() bool { return h.hasQuorum },
 		Now:         func() time.Time { return h.now },
 		HomeRegions: func(string) [][]string { return homeRegions },
+		Departures:  h.departuresAfter,
 	})
 	h.RecordMembers()
 	return h
 }
 
+func (h *directoryHarness) departuresAfter(after time.Time) []swim.Departure {
+	var later []swim.Departure
+	for _, departure := range h.departures {
+		if departure.LearnedAt.After(after) {
+			later = append(later, departure)
+		}
+	}
+	return later
+}
+
 // advanceSecond advances the clock by a second and records the members, as a running directory does.
 func (h *directoryHarness) advanceSecond() {
 	h.now = h.now.Add(time.Second)
@@ -77,6 +89,45 @@
 	assert.DeepEqual(t, h.addresses("h", "a", "r"), []string{"other:80"}) // the retention has expired: it is no longer expected back
 }
 
+// A directory that had just started led clients out of the home regions: it took the relays there, which it had not seen serve, for lost
+// while they were only being restarted. The relay still answers here.
+func TestNewDirectoryWaitsForHomeRelayThatIsStopping(t *testing.T) {
+	own, other := relay("own", "a", "r"), relay("other", "c", "u")
+	own.Meta.Serving = false
+	h := newDirectoryHarness([][]string{{"r"}}, own, other)
+	for elapsed := time.Duration(0); elapsed <= lostRelayRetention; elapsed += time.Second {
+		assert.Equal(t, len(h.addresses("h", "a", "r")), 0, "after %v", elapsed)
+		h.advanceSecond()
+	}
+	assert.DeepEqual(t, h.addresses("h", "a", "r"), []string{"other:80"}) // it does not come back
+	h.advanceSecond()
+	assert.DeepEqual(t, h.addresses("h", "a", "r"), []string{"other:80"})
+	h.members[0].Meta.Serving = true
+	assert.DeepEqual(t, h.addresses("h", "a", "r"), []string{"own:80"})
+}
+
+// The same where the relay has left before the directory started.
+func TestNewDirectoryWaitsForHomeRelayThatHasLeft(t *testing.T) {
+	own, other := relay("own", "a", "r"), relay("other", "c", "u")
+	h := newDirectoryHarness([][]string{{"r"}}, other)
+	h.departures = []swim.Departure{{Member: own, LearnedAt: h.now}}
+	assert.Equal(t, len(h.addresses("h", "a", "r")), 0)
+	h.now = h.now.Add(lostRelayRetention - time.Second)
+	assert.Equal(t, len(h.addresses("h", "a", "r")), 0)
+	h.now = h.now.Add(2 * time.Second)
+	assert.DeepEqual(t, h.addresses("h", "a", "r"), []string{"other:80"})
+}
+
+// A relay that this process has never seen serve is not among those that an isolated directory adds.
+func TestIsolatedDirectoryReturnsNoRelayThatNeverServed(t *testing.T) {
+	own, far := relay("own", "a", "r"), relay("far", "c", "s")
+	far.Meta.Serving = false
+	h := newDirectoryHarness(nil, own, far)
+	h.members, h.hasQuorum = h.members[:1], false
+	h.advanceSecond()
+	assert.DeepEqual(t, h.addresses("h", "a", "r"), []string{"own:80"})
+}
+
 // If the only relay in a home region is lost without an announcement, its clients are sent to any relay.
 func TestRelayOutsideHomeRegionsServesWhenOnlyHomeIsLost(t *testing.T) {
 	own, other := relay("own", "a", "r"), relay("other", "c", "u")
--- a/internal/swim/exchange.go
+++ b/internal/swim/exchange.go
@@ -42,7 +42,8 @@
 	n.gossipPending = true
 }
 
-// allStates returns the states of all known members, that of this process first.
+// allStates returns the states of all known members, that of this process first. Members that have left are described in full, so that a
+// process that has just started knows what left before.
 func (n *Node) allStates() []*swimpb.State {
 	states := make([]*swimpb.State, 0, len(n.table.ring)+len(n.table.tombstones)+1)
 	states = append(states, encodeMember(n.self.Member, "", true))
@@ -52,7 +53,7 @@
 		}
 	}
 	for _, departed := range n.table.tombstones {
-		states = append(states, encodeMember(departed.Member, "", false))
+		states = append(states, encodeMember(departed.Member, "", departed.Status == Left))
 	}
 	return states
 }
--- a/internal/swim/merge.go
+++ b/internal/swim/merge.go
@@ -46,12 +46,18 @@
 	n.announceSelf()
 }
 
-// addMember adds an unknown member. Unknown members that are reported dead or left are ignored.
+// addMember adds an unknown member. Unknown members that are reported dead are ignored, as are those that have left if the report does not
+// describe them.
 func (n *Node) addMember(now time.Time, reported report) {
-	if !reported.Status.live() || !reported.hasMeta {
+	if reported.Status == Dead || !reported.hasMeta {
 		return
 	}
 	added := &peer{Member: reported.Member, nameHash: hashName(reported.Name), statusSince: now}
+	if reported.Status == Left {
+		n.table.byName[added.Name] = added
+		n.table.addTombstone(added)
+		return
+	}
 	added.Status = Alive
 	n.table.byName[added.Name] = added
 	n.insertMember(now, added)
