relay: a test waits for the step that it started

The test waited for the answer, which is sent in the middle of that step, and not for its end.

Change: the test waits for the step before it ends. What it checks is as it was. The program is not changed.

--- a/internal/relay/shutdown_test.go
+++ b/internal/relay/shutdown_test.go
@@ -149,7 +149,12 @@
 		conn := l.dial()
 		go io.WriteString(conn, submissionText("m1"))
 		sub := <-r.events // not handled yet
-		go func() { time.Sleep(lastAnswersTimeout / 2); r.step([]any{sub}) }()
+		stepped := make(chan struct{})
+		go func() {
+			defer close(stepped)
+			time.Sleep(lastAnswersTimeout / 2)
+			r.step([]any{sub})
+		}()
 		finished := make(chan struct{})
 		go func() { defer close(finished); cl.finish(lastAnswersTimeout) }()
 		status, _ := readAnswer(t, conn)
@@ -158,5 +163,6 @@
 		}
 		conn.Close()
 		<-finished
+		<-stepped // what the test cleans up is in use until then
 	})
 }
